--- a/CMake/CompilerSettings.cmake
+++ b/CMake/CompilerSettings.cmake
@@ -17,6 +17,11 @@
 add_compile_options(-Wall -Wextra -Werror -Wno-deprecated-declarations
   -Wno-missing-field-initializers)
 
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_BUILD_TYPE STREQUAL "Release")
+  # g++ 12 reports these falsely at -O3, in std::string and std::optional.
+  add_compile_options(-Wno-restrict -Wno-maybe-uninitialized)
+endif()
+
 set(MUSTARDSLIP_SANITIZE "" CACHE STRING
   "Sanitizers, as for -fsanitize (for example address,undefined or thread)")
 if(MUSTARDSLIP_SANITIZE)
--- a/CMake/SliceTest.cmake
+++ b/CMake/SliceTest.cmake
@@ -2,6 +2,9 @@
 # registers it with CTest.
 
 function(mustardslip_slice_test NAME)
+  if(NOT MUSTARDSLIP_TESTS)
+    return()
+  endif()
   add_executable(${NAME} ${ARGN})
   target_link_libraries(${NAME} PRIVATE mustardslip_core GTest::gmock
     GTest::gtest_main rapidcheck)
--- /dev/null
+++ b/Source/Core/cell/advice_queue.h
@@ -0,0 +1,122 @@
+// Spreads calls for advice over the daemons: the service handles one call at a
+// time for each calling VM, so a single daemon could not ask for all steps.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cell/cell_types.h"
+
+namespace mustardslip {
+
+class AdviceQueue {
+ public:
+  // A second call waits at the service while the first is served; more would
+  // only make verdicts old.
+  static constexpr std::size_t kCallsPerDaemon = 2;
+
+  // Daemons are named by their links; 0 is this daemon.
+  void AddDaemon(std::uint64_t daemon) { m_daemons[daemon]; }
+
+  // Returns the calls that were open there and are lost.
+  std::vector<AskAdvice> RemoveDaemon(std::uint64_t daemon) {
+    std::vector<AskAdvice> lost;
+    const auto found = m_daemons.find(daemon);
+    if (found == m_daemons.end()) {
+      return lost;
+    }
+    for (const auto& [number, call] : found->second) {
+      lost.push_back(call.m_ask);
+    }
+    m_daemons.erase(found);
+    return lost;
+  }
+
+  std::size_t FreeCalls() const {
+    std::size_t free = 0;
+    for (const auto& [daemon, calls] : m_daemons) {
+      free += kCallsPerDaemon - std::min(kCallsPerDaemon, calls.size());
+    }
+    return free;
+  }
+
+  struct Assignment {
+    std::uint64_t m_daemon = 0;
+    std::uint64_t m_number = 0;
+  };
+
+  // Gives the call to the daemon that will serve it soonest. Requires a free
+  // call.
+  std::optional<Assignment> Assign(const AskAdvice& ask, std::int64_t now_ms) {
+    std::uint64_t best = 0;
+    std::int64_t best_ready_ms = INT64_MAX;
+    for (const auto& [daemon, calls] : m_daemons) {
+      if (calls.size() >= kCallsPerDaemon) {
+        continue;
+      }
+      std::int64_t ready_ms = now_ms;
+      for (const auto& [number, call] : calls) {
+        ready_ms = std::max(ready_ms, call.m_expected_end_ms);
+      }
+      if (ready_ms < best_ready_ms) {
+        best_ready_ms = ready_ms;
+        best = daemon;
+      }
+    }
+    if (best_ready_ms == INT64_MAX) {
+      return std::nullopt;
+    }
+    const std::uint64_t number = ++m_last_number;
+    m_daemons[best][number] = {ask, best_ready_ms + ask.m_expected_ms,
+                               best_ready_ms + ask.m_expected_ms + kLateMs};
+    return Assignment{best, number};
+  }
+
+  // The call is over; nullopt if it is not known (it was given up).
+  std::optional<AskAdvice> Finish(std::uint64_t daemon, std::uint64_t number) {
+    const auto calls = m_daemons.find(daemon);
+    if (calls == m_daemons.end()) {
+      return std::nullopt;
+    }
+    const auto call = calls->second.find(number);
+    if (call == calls->second.end()) {
+      return std::nullopt;
+    }
+    AskAdvice ask = call->second.m_ask;
+    calls->second.erase(call);
+    return ask;
+  }
+
+  // Calls that got no answer in time.
+  std::vector<AskAdvice> TakeLate(std::int64_t now_ms) {
+    std::vector<AskAdvice> late;
+    for (auto& [daemon, calls] : m_daemons) {
+      std::erase_if(calls, [&](const auto& entry) {
+        const bool over = entry.second.m_give_up_ms <= now_ms;
+        if (over) {
+          late.push_back(entry.second.m_ask);
+        }
+        return over;
+      });
+    }
+    return late;
+  }
+
+ private:
+  static constexpr std::int64_t kLateMs = 1'200;
+
+  struct Call {
+    AskAdvice m_ask;
+    std::int64_t m_expected_end_ms = 0;
+    std::int64_t m_give_up_ms = 0;
+  };
+
+  std::map<std::uint64_t, std::map<std::uint64_t, Call>> m_daemons;
+  std::uint64_t m_last_number = 0;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/byte_codec.h
@@ -0,0 +1,103 @@
+// Compact binary encoding of log records: variable-length integers and
+// length-prefixed strings.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mustardslip {
+
+class ByteWriter {
+ public:
+  void Unsigned(std::uint64_t value) {
+    while (value >= kMore) {
+      m_bytes.push_back(static_cast<char>((value & kMask) | kMore));
+      value >>= kBits;
+    }
+    m_bytes.push_back(static_cast<char>(value));
+  }
+
+  // Zigzag, so that small negative numbers stay short.
+  void Signed(std::int64_t value) {
+    const auto bits = static_cast<std::uint64_t>(value);
+    Unsigned((bits << 1U) ^ (value < 0 ? ~std::uint64_t{0} : 0));
+  }
+
+  void Bool(bool value) { Unsigned(value ? 1 : 0); }
+
+  void Text(std::string_view text) {
+    Unsigned(text.size());
+    m_bytes.append(text);
+  }
+
+  const std::string& Bytes() const { return m_bytes; }
+  std::size_t Size() const { return m_bytes.size(); }
+  std::string Take() { return std::move(m_bytes); }
+
+ private:
+  static constexpr std::uint64_t kMore = 0x80;
+  static constexpr std::uint64_t kMask = 0x7F;
+  static constexpr unsigned kBits = 7;
+
+  std::string m_bytes;
+};
+
+// Reads what ByteWriter wrote. After malformed input Ok() is false and all
+// further reads give zero or an empty string.
+class ByteReader {
+ public:
+  explicit ByteReader(std::string_view bytes) : m_bytes(bytes) {}
+
+  std::uint64_t Unsigned() {
+    std::uint64_t value = 0;
+    for (unsigned shift = 0; shift < kMaxShift; shift += kBits) {
+      if (m_bytes.empty()) {
+        break;
+      }
+      const auto byte = static_cast<unsigned char>(m_bytes.front());
+      m_bytes.remove_prefix(1);
+      value |= static_cast<std::uint64_t>(byte & kMask) << shift;
+      if ((byte & kMore) == 0) {
+        return value;
+      }
+    }
+    m_ok = false;
+    m_bytes = {};
+    return 0;
+  }
+
+  std::int64_t Signed() {
+    const std::uint64_t bits = Unsigned();
+    return static_cast<std::int64_t>(
+        (bits >> 1U) ^ ((bits & 1U) != 0 ? ~std::uint64_t{0} : 0));
+  }
+
+  bool Bool() { return Unsigned() != 0; }
+
+  std::string Text() {
+    const std::uint64_t size = Unsigned();
+    if (size > m_bytes.size()) {
+      m_ok = false;
+      m_bytes = {};
+      return "";
+    }
+    std::string text(m_bytes.substr(0, size));
+    m_bytes.remove_prefix(size);
+    return text;
+  }
+
+  bool AtEnd() const { return m_bytes.empty(); }
+  bool Ok() const { return m_ok; }
+
+ private:
+  static constexpr unsigned char kMore = 0x80;
+  static constexpr unsigned char kMask = 0x7F;
+  static constexpr unsigned kBits = 7;
+  static constexpr unsigned kMaxShift = 70;
+
+  std::string_view m_bytes;
+  bool m_ok = true;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_core.cc
@@ -0,0 +1,443 @@
+// Events of callers, the log and time. What VMs say is in cell_core_vms.cc.
+#include "cell/cell_core.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+
+namespace mustardslip {
+namespace {
+
+// Work that is not done is bounded, so that memory and passes are.
+constexpr std::size_t kMostActiveJobs = 20'000;
+constexpr std::int64_t kRetryWhenFullMs = 1'000;
+constexpr std::int64_t kRetryWithoutStoreMs = 1'000;
+// Ended jobs are swept this often.
+constexpr std::int64_t kSweepMs = 5'000;
+// Kept beyond the retention, as clocks of daemons differ.
+constexpr std::int64_t kRetentionSlackMs = 10'000;
+
+}  // namespace
+
+std::string ToString(const StepRef& step) {
+  return fmt::format("{}.{}.{}", step.m_job, step.m_occurrence, step.m_step);
+}
+
+void CellCore::OnRecovered(const CellTime& now) {
+  m_recovered_ms = now.m_steady_ms;
+  m_state.TakeChangedJobs();
+  for (auto& [id, job] : m_state.Jobs()) {
+    job->m_shown = job->Phase();
+  }
+  for (auto& [life, vm] : m_state.Vms()) {
+    vm.m_durable_end = vm.m_last_end;
+  }
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    ReleaseOccurrences(*job, now);
+    RefreshReady(id, *job);
+  }
+}
+
+void CellCore::OnRules(CellRules rules) {
+  if (rules.m_version < m_rules.m_version) {
+    return;
+  }
+  m_rules = std::move(rules);
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    for (const QueueRules& queue : m_rules.m_queues) {
+      // A queue that was removed leaves its jobs with its last rules. The pool
+      // stays the one that the job was accepted for.
+      if (queue.m_name == job->m_spec.m_queue.m_name &&
+          queue.m_service == job->m_spec.m_queue.m_service) {
+        job->m_spec.m_queue = queue;
+      }
+    }
+  }
+  m_dirty = true;
+}
+
+// --- Callers ---
+
+void CellCore::Submit(std::uint64_t token, WorkflowSpec spec,
+                      const CellTime& now) {
+  CellAnswer accepted;
+  accepted.m_outcome = CellOutcome::kAccepted;
+  if (const Job* known = m_state.FindJob(spec.m_id)) {
+    if (known->m_shown) {
+      Reply(token, accepted);
+    } else {
+      Gate(Effect{ReplyToCaller{token, accepted}});
+    }
+    return;
+  }
+  if (!m_store_writable) {
+    Refuse(token, "store_unavailable", kRetryWithoutStoreMs);
+    return;
+  }
+  if (m_state.ActiveJobs().size() >= kMostActiveJobs) {
+    Refuse(token, "too_many_jobs", kRetryWhenFullMs);
+    return;
+  }
+  const std::string id = spec.m_id;
+  const std::string team = spec.m_team;
+  Append(JobAccepted{std::move(spec), now.m_unix_ms});
+  Job& job = *m_state.FindJob(id);
+  if (const auto limits = m_rules.m_teams.find(team);
+      limits != m_rules.m_teams.end()) {
+    job.m_excess =
+        !m_team_rate.Take(team, limits->second.m_weight, now.m_steady_ms);
+  }
+  ReleaseOccurrences(job, now);
+  ++m_counters.m_accepted;
+  Gate(Effect{ReplyToCaller{token, accepted}});
+}
+
+void CellCore::Cancel(std::uint64_t token, const std::string& queue,
+                      const std::string& id, const CellTime& now) {
+  CellAnswer answer;
+  Job* job = m_state.FindJob(id);
+  if (job == nullptr || job->m_spec.m_queue.m_name != queue) {
+    answer.m_outcome = CellOutcome::kGone;
+    Reply(token, answer);
+    return;
+  }
+  answer.m_outcome = CellOutcome::kPhase;
+  if (!job->Ended()) {
+    Append(JobCancelled{id, now.m_unix_ms});
+    Gate(StopJob{id});
+  }
+  answer.m_phase = job->Phase();
+  if (job->m_shown == job->Phase()) {
+    Reply(token, answer);
+  } else {
+    Gate(Effect{ReplyToCaller{token, answer}});
+  }
+}
+
+void CellCore::Lookup(std::uint64_t token, const std::string& queue,
+                      const std::string& id) {
+  CellAnswer answer;
+  const Job* job = m_state.FindJob(id);
+  if (job == nullptr || !job->m_shown || job->m_spec.m_queue.m_name != queue) {
+    answer.m_outcome = CellOutcome::kGone;
+  } else {
+    answer.m_outcome = CellOutcome::kPhase;
+    answer.m_phase = *job->m_shown;
+  }
+  Reply(token, answer);
+}
+
+void CellCore::CountWaiting(std::uint64_t token, const std::string& queue) {
+  CellAnswer answer;
+  answer.m_outcome = CellOutcome::kCount;
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    const bool waiting = job->m_shown && !job->m_begun && !job->Ended();
+    if (waiting && job->m_spec.m_queue.m_name == queue) {
+      ++answer.m_count;
+    }
+  }
+  Reply(token, answer);
+}
+
+void CellCore::Reply(std::uint64_t token, CellAnswer answer) {
+  m_effects.push_back(ReplyToCaller{token, std::move(answer)});
+}
+
+void CellCore::Refuse(std::uint64_t token, std::string reason,
+                      std::int64_t retry_after_ms) {
+  CellAnswer answer;
+  answer.m_outcome = CellOutcome::kRefused;
+  answer.m_reason = std::move(reason);
+  answer.m_retry_after_ms = retry_after_ms;
+  ++m_counters.m_refused;
+  Reply(token, std::move(answer));
+}
+
+// --- Log ---
+
+void CellCore::Append(LogRecord record) {
+  m_state.Apply(record);
+  m_open.m_records.push_back(std::move(record));
+  OnJobsChanged();
+}
+
+void CellCore::OnJobsChanged() {
+  for (const std::string& id : m_state.TakeChangedJobs()) {
+    Job* job = m_state.FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    const JobPhase phase = job->Phase();
+    if (job->m_shown != phase) {
+      Gate(ShowPhase{id, phase});
+    }
+    RefreshReady(id, *job);
+    m_dirty = true;
+  }
+}
+
+void CellCore::Gate(Gated effect) {
+  if (!m_open.m_records.empty()) {
+    m_open.m_gated.push_back(std::move(effect));
+  } else if (m_in_flight) {
+    m_in_flight->m_gated.push_back(std::move(effect));
+  } else if (auto* one = std::get_if<Effect>(&effect)) {
+    m_effects.push_back(std::move(*one));
+  }
+}
+
+const std::vector<LogRecord>& CellCore::BeginBatch() {
+  Invariant(!m_in_flight, "one batch of the log is in flight at a time");
+  m_in_flight = std::move(m_open);
+  m_open = {};
+  return m_in_flight->m_records;
+}
+
+void CellCore::OnDurable(const CellTime& now) {
+  Invariant(m_in_flight.has_value(), "a durable batch was in flight");
+  const Batch batch = std::move(*m_in_flight);
+  m_in_flight.reset();
+  for (const Gated& effect : batch.m_gated) {
+    Release(effect, now);
+  }
+}
+
+void CellCore::Release(const Gated& effect, const CellTime& now) {
+  if (const auto* start = std::get_if<PlannedStart>(&effect)) {
+    ReleaseStart(start->m_placement, now);
+  } else if (const auto* show = std::get_if<ShowPhase>(&effect)) {
+    if (Job* job = m_state.FindJob(show->m_job)) {
+      job->m_shown = show->m_phase;
+    }
+  } else if (const auto* ends = std::get_if<ReleaseEnds>(&effect)) {
+    if (VmState* vm = m_state.FindVm(ends->m_vm)) {
+      vm->m_durable_end = std::max(vm->m_durable_end, ends->m_up_to);
+    }
+  } else if (const auto* stop = std::get_if<StopJob>(&effect)) {
+    if (Job* job = m_state.FindJob(stop->m_job)) {
+      StopRuns(*job, now);
+    }
+  } else {
+    m_effects.push_back(std::get<Effect>(effect));
+  }
+}
+
+void CellCore::ReleaseStart(const Placement& placement, const CellTime& now) {
+  OpenRun* run = m_state.FindRun(placement.m_task, placement.m_run);
+  if (run == nullptr) {
+    return;
+  }
+  run->m_awaits_log = false;
+  const Job& job = *m_state.FindJob(placement.m_task.m_job);
+  const StepState& step = *m_state.FindStep(placement.m_task);
+  const StepSpec& spec = job.m_spec.m_steps[placement.m_task.m_step];
+  VmState* vm = m_state.FindVm(placement.m_vm);
+  const bool broken = spec.m_gang && step.m_broken_run >= placement.m_run;
+  if (job.Ended() || broken || vm == nullptr ||
+      !IsUsable(*vm, now.m_steady_ms)) {
+    CloseRun(placement.m_task, placement.m_run, placement.m_vm,
+             RunEnd::kNotBegun, "", 0, now);
+    return;
+  }
+  StartRun start;
+  start.m_task = placement.m_task;
+  start.m_run = placement.m_run;
+  start.m_vm = placement.m_vm;
+  start.m_address = vm->m_description.m_address;
+  start.m_payload = job.m_payload;
+  start.m_ticket = placement.m_ticket;
+  if (spec.m_checkpoint) {
+    // All members of a gang resume from the same point, the first member's.
+    start.m_checkpoint =
+        spec.m_gang ? step.m_tasks.front().m_checkpoint
+                    : step.m_tasks[placement.m_task.m_index].m_checkpoint;
+  }
+  start.m_deadline_vm_ms =
+      vm->m_clock.AtLeast(now.m_steady_ms) + kStartWindowMs;
+  vm->m_lease_until_vm_ms =
+      std::max(vm->m_lease_until_vm_ms, start.m_deadline_vm_ms);
+  run->m_listed_after_vm_ms = start.m_deadline_vm_ms;
+  ++m_counters.m_starts;
+  m_effects.push_back(std::move(start));
+}
+
+// --- Runs ---
+
+void CellCore::CloseRun(const TaskRef& task, std::uint32_t run,
+                        const VmLife& vm, RunEnd end, std::string checkpoint,
+                        std::uint64_t sequence, const CellTime& now) {
+  Append(RunEnded{task, run, end, std::move(checkpoint), vm, sequence,
+                  now.m_unix_ms});
+  if (sequence > 0) {
+    Gate(ReleaseEnds{vm, sequence});
+  }
+  ++m_counters.m_ends[end];
+  AfterEnd(task, run, end, vm, now);
+}
+
+void CellCore::AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
+                        const VmLife& vm, const CellTime& now) {
+  if (VmState* state = m_state.FindVm(vm)) {
+    CountVmHealth(*state, end, now);
+  }
+  Job* job = m_state.FindJob(task.m_job);
+  if (job == nullptr) {
+    return;
+  }
+  if (TaskState* state = m_state.FindTask(task)) {
+    state->m_idle_since_ms = now.m_steady_ms;
+  }
+  if (job->Ended()) {
+    Gate(StopJob{task.m_job});
+    return;
+  }
+  const bool gang = job->m_spec.m_steps[task.m_step].m_gang;
+  if (gang && end != RunEnd::kDone) {
+    StopGangRun(task, run, now);
+  }
+}
+
+// The members of a gang go on only together.
+void CellCore::StopGangRun(const TaskRef& task, std::uint32_t run,
+                           const CellTime& now) {
+  StepState* step = m_state.FindStep(task);
+  if (step == nullptr || step->Done()) {
+    return;
+  }
+  step->m_broken_run = std::max(step->m_broken_run, run);
+  TaskRef member = task;
+  for (member.m_index = 0; member.m_index < step->m_tasks.size();
+       ++member.m_index) {
+    for (OpenRun& open : step->m_tasks[member.m_index].m_open) {
+      if (open.m_number <= run) {
+        SendStop(member, open, now);
+      }
+    }
+  }
+}
+
+void CellCore::StopRuns(Job& job, const CellTime& now) {
+  for (auto& [number, occurrence] : job.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      StepState& step = occurrence.m_steps[s];
+      if (step.m_open == 0) {
+        continue;
+      }
+      for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
+        for (OpenRun& run : step.m_tasks[t].m_open) {
+          SendStop({job.m_spec.m_id, number, s, t}, run, now);
+        }
+      }
+    }
+  }
+}
+
+void CellCore::SendStop(const TaskRef& task, OpenRun& run,
+                        const CellTime& now) {
+  // An order that got no answer is repeated; the VM takes it once.
+  constexpr std::int64_t kRepeatStopMs = 700;
+  // Such a start is dropped when its batch is durable.
+  if (run.m_awaits_log) {
+    return;
+  }
+  const bool sent_lately = run.m_stop_sent_ms != 0 &&
+                           now.m_steady_ms - run.m_stop_sent_ms < kRepeatStopMs;
+  VmState* vm = m_state.FindVm(run.m_vm);
+  if (sent_lately || vm == nullptr || vm->m_description.m_address.empty()) {
+    return;
+  }
+  run.m_stop_sent_ms = now.m_steady_ms;
+  if (run.m_phase == RunPhase::kRunning) {
+    run.m_phase = RunPhase::kStopping;
+  }
+  m_effects.push_back(
+      StopRun{task, run.m_number, run.m_vm, vm->m_description.m_address});
+}
+
+// --- Time ---
+
+void CellCore::OnTick(const CellTime& now) {
+  CheckLapsedVms(now);
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    if (job->Ended()) {
+      // Durable once it is shown.
+      if (job->m_shown == job->Phase()) {
+        StopRuns(*job, now);
+      }
+      continue;
+    }
+    if (job->m_spec.m_schedule.m_repeats > 0) {
+      ReleaseOccurrences(*job, now);
+      RefreshReady(id, *job);
+    }
+    for (auto& [number, occurrence] : job->m_occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        const StepState& step = occurrence.m_steps[s];
+        if (step.m_broken_run > 0 && step.m_open > 0) {
+          StopGangRun({id, number, s, 0}, step.m_broken_run, now);
+        }
+      }
+    }
+  }
+  if (now.m_steady_ms - m_last_sweep_ms >= kSweepMs) {
+    m_last_sweep_ms = now.m_steady_ms;
+    m_state.DropEndedBefore(now.m_unix_ms - m_bounds.m_retention_ms -
+                            kRetentionSlackMs);
+  }
+  m_dirty = true;
+}
+
+void CellCore::ReleaseOccurrences(Job& job, const CellTime& now) {
+  if (job.m_spec.m_schedule.m_repeats == 0) {
+    return;
+  }
+  for (std::uint32_t k = 0; k < job.OccurrenceCount(); ++k) {
+    if (job.DueUnixMs(k) > now.m_unix_ms) {
+      break;
+    }
+    job.OccurrenceAt(k);
+  }
+}
+
+void CellCore::RefreshReady(const std::string& id, Job& job) {
+  for (auto& [number, occurrence] : job.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const StepState& step = occurrence.m_steps[s];
+      const bool waiting = step.m_done + step.m_open < step.m_tasks.size();
+      const StepRef ref{id, number, s};
+      if (waiting && !job.Ended() && job.StepIsReleased(occurrence, s)) {
+        m_ready.insert(ref);
+      } else {
+        m_ready.erase(ref);
+      }
+    }
+  }
+}
+
+void CellCore::Schedule(const CellTime& now, std::size_t free_asks) {
+  // Nothing is planned that could not be written: a plan takes room.
+  if (!m_dirty || !m_store_writable) {
+    return;
+  }
+  m_dirty = false;
+  ++m_counters.m_passes;
+  ScheduleResult result =
+      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_asks);
+  for (Placement& placement : result.m_placements) {
+    Append(RunPlanned{placement.m_task, placement.m_run, placement.m_vm});
+    m_state.FindRun(placement.m_task, placement.m_run)->m_awaits_log = true;
+    Gate(PlannedStart{std::move(placement)});
+  }
+  for (AskAdvice& ask : result.m_asks) {
+    ++m_counters.m_asks;
+    m_effects.push_back(std::move(ask));
+  }
+}
+
+std::vector<Effect> CellCore::TakeEffects() {
+  std::vector<Effect> effects;
+  effects.swap(m_effects);
+  return effects;
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -0,0 +1,276 @@
+// What VMs and the advice service say, and what silence means.
+#include <algorithm>
+#include <set>
+
+#include "cell/cell_core.h"
+
+namespace mustardslip {
+namespace {
+
+// A VM that failed this many runs in a row is left alone for a while, which
+// doubles with each further failure.
+constexpr std::uint32_t kFailuresBeforeAvoid = 3;
+constexpr std::int64_t kAvoidMs = 1'500;
+constexpr std::uint32_t kMostDoublings = 4;
+constexpr std::int64_t kAvoidUnhealthyMs = 400;
+// Between the end of a lease as computed and the end of what it held.
+constexpr std::int64_t kLapseSlackMs = 300;
+// A ticket's validity counts from its issue, before the answer came.
+constexpr std::int64_t kTicketTransitMs = 50;
+// Pause after a failed call for advice.
+constexpr std::int64_t kRetryAdviceMs = 150;
+
+}  // namespace
+
+void CellCore::OnVmListed(const VmDescription& description,
+                          const CellTime& now) {
+  VmState& vm = m_state.VmOf(description.m_life);
+  vm.m_description = description;
+  vm.m_listed = true;
+  // Earlier lives of the same VM run nothing any more.
+  for (auto& [life, earlier] : m_state.Vms()) {
+    if (life.m_id == description.m_life.m_id &&
+        life.m_born < description.m_life.m_born) {
+      earlier.m_listed = false;
+      LoseRuns(earlier, now);
+    }
+  }
+  m_dirty = true;
+}
+
+void CellCore::OnVmUnlisted(const std::string& id, const CellTime&) {
+  for (auto& [life, vm] : m_state.Vms()) {
+    if (life.m_id == id) {
+      vm.m_listed = false;
+    }
+  }
+}
+
+std::optional<std::int64_t> CellCore::NextLease(VmState& vm,
+                                                const CellTime& now) const {
+  if (!vm.m_clock.Known() || vm.m_first_failed_call_ms != 0) {
+    return std::nullopt;
+  }
+  const std::int64_t length = std::min(kVmLeaseMs, m_bounds.m_max_lease_ms);
+  const std::int64_t deadline = vm.m_clock.AtLeast(now.m_steady_ms) + length;
+  vm.m_lease_until_vm_ms = std::max(vm.m_lease_until_vm_ms, deadline);
+  return deadline;
+}
+
+void CellCore::OnVmReport(const VmReport& report, const CellTime& now) {
+  VmState* vm = m_state.FindVm(report.m_vm);
+  if (vm == nullptr) {
+    return;
+  }
+  if (!vm->m_fenced || vm->m_first_failed_call_ms != 0) {
+    m_dirty = true;
+  }
+  vm->m_fenced = true;
+  vm->m_last_answer_ms = now.m_steady_ms;
+  vm->m_first_failed_call_ms = 0;
+  vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
+  ReadEnds(*vm, report, now);
+  ReadRunning(*vm, report, now);
+  CloseUnlistedRuns(*vm, report, now);
+}
+
+void CellCore::ReadEnds(VmState& vm, const VmReport& report,
+                        const CellTime& now) {
+  for (const ListedEnd& end : report.m_ended) {
+    if (end.m_sequence > vm.m_last_end) {
+      CloseRun(end.m_task, end.m_run, vm.Life(), end.m_end, end.m_checkpoint,
+               end.m_sequence, now);
+    }
+  }
+}
+
+void CellCore::ReadRunning(VmState& vm, const VmReport& report,
+                           const CellTime& now) {
+  for (const ListedRun& listed : report.m_running) {
+    OpenRun* run = m_state.FindRun(listed.m_task, listed.m_run);
+    const bool ours = run != nullptr && run->m_vm == vm.Life();
+    if (!ours) {
+      // A start that came too late to count, or of a job that is not known.
+      if (vm.m_open.count({listed.m_task, listed.m_run}) == 0) {
+        m_effects.push_back(StopRun{listed.m_task, listed.m_run, vm.Life(),
+                                    vm.m_description.m_address});
+      }
+      continue;
+    }
+    if (run->m_phase == RunPhase::kPlanned) {
+      run->m_phase = RunPhase::kRunning;
+      run->m_listed_after_vm_ms = report.m_vm_ms;
+    }
+    if (!listed.m_checkpoint.empty()) {
+      StepState& step = *m_state.FindStep(listed.m_task);
+      const Job& job = *m_state.FindJob(listed.m_task.m_job);
+      const bool gang = job.m_spec.m_steps[listed.m_task.m_step].m_gang;
+      TaskState& task =
+          gang ? step.m_tasks.front() : step.m_tasks[listed.m_task.m_index];
+      task.m_checkpoint = listed.m_checkpoint;
+    }
+  }
+  (void)now;
+}
+
+// A run that the VM should know and names in neither list never began, or its
+// end was represented by another member's.
+void CellCore::CloseUnlistedRuns(VmState& vm, const VmReport& report,
+                                 const CellTime& now) {
+  if (report.m_more || vm.m_open.empty()) {
+    return;
+  }
+  std::set<RunKey> listed;
+  for (const ListedRun& run : report.m_running) {
+    listed.emplace(run.m_task, run.m_run);
+  }
+  std::vector<RunKey> missing;
+  for (const auto& [key, charge] : vm.m_open) {
+    const OpenRun* run = m_state.FindRun(key.first, key.second);
+    if ((run != nullptr && run->m_awaits_log) || listed.count(key) != 0) {
+      continue;
+    }
+    if (run == nullptr || report.m_vm_ms > run->m_listed_after_vm_ms) {
+      missing.push_back(key);
+    }
+  }
+  for (const RunKey& key : missing) {
+    ++m_counters.m_not_begun;
+    CloseRun(key.first, key.second, vm.Life(), RunEnd::kNotBegun, "", 0, now);
+  }
+}
+
+void CellCore::OnVmSilent(const VmLife& life, const CellTime& now) {
+  VmState* vm = m_state.FindVm(life);
+  if (vm != nullptr && vm->m_first_failed_call_ms == 0) {
+    vm->m_first_failed_call_ms = std::max<std::int64_t>(1, now.m_steady_ms);
+  }
+}
+
+// Gives up the runs of VMs whose lease must have run out.
+void CellCore::CheckLapsedVms(const CellTime& now) {
+  std::vector<VmLife> unused;
+  for (auto& [life, vm] : m_state.Vms()) {
+    if (vm.m_open.empty()) {
+      if (!vm.m_listed && vm.m_last_end == vm.m_durable_end) {
+        unused.push_back(life);
+      }
+      continue;
+    }
+    const bool silent =
+        vm.m_first_failed_call_ms != 0 || !vm.m_listed || !vm.m_fenced;
+    if (!silent) {
+      continue;
+    }
+    bool lapsed = false;
+    if (vm.m_clock.Known()) {
+      lapsed = vm.m_clock.AtLeast(now.m_steady_ms) >
+               vm.m_lease_until_vm_ms + kLapseSlackMs;
+    } else {
+      // The lease that an earlier owner may have given last.
+      const std::int64_t longest =
+          kHoldWithoutStoreMs + kVmLeaseMs + kVmLeaseMs / 50 + kLapseSlackMs;
+      lapsed = now.m_steady_ms - m_recovered_ms > longest;
+    }
+    if (lapsed) {
+      LoseRuns(vm, now);
+    }
+  }
+  for (const VmLife& life : unused) {
+    m_state.Vms().erase(life);
+  }
+}
+
+void CellCore::LoseRuns(VmState& vm, const CellTime& now) {
+  std::vector<RunKey> open;
+  for (const auto& [key, charge] : vm.m_open) {
+    open.push_back(key);
+  }
+  for (const RunKey& key : open) {
+    CloseRun(key.first, key.second, vm.Life(), RunEnd::kLost, "", 0, now);
+  }
+}
+
+void CellCore::OnStartAnswer(const StartAnswer& answer, const CellTime& now) {
+  OpenRun* run = m_state.FindRun(answer.m_task, answer.m_run);
+  if (run == nullptr || run->m_vm != answer.m_vm) {
+    return;
+  }
+  VmState* vm = m_state.FindVm(answer.m_vm);
+  if (vm != nullptr && answer.m_vm_ms != 0) {
+    vm->m_clock.OnAnswer(answer.m_vm_ms, now.m_steady_ms);
+  }
+  switch (answer.m_outcome) {
+    case StartOutcome::kStarted:
+      if (run->m_phase == RunPhase::kPlanned) {
+        run->m_phase = RunPhase::kRunning;
+        run->m_listed_after_vm_ms = answer.m_vm_ms;
+      }
+      return;
+    case StartOutcome::kUnknown:
+    case StartOutcome::kSuperseded:
+      // The VM's next list of runs, or the end of its lease, decides.
+      return;
+    case StartOutcome::kBadTicket:
+      if (StepState* step = m_state.FindStep(answer.m_task)) {
+        step->m_advice.erase(answer.m_vm.m_id);
+      }
+      break;
+    case StartOutcome::kUnhealthy:
+      if (vm != nullptr) {
+        vm->m_avoid_until_ms = now.m_steady_ms + kAvoidUnhealthyMs;
+      }
+      break;
+    case StartOutcome::kRefused:
+      break;
+  }
+  ++m_counters.m_not_begun;
+  CloseRun(answer.m_task, answer.m_run, answer.m_vm, RunEnd::kNotBegun, "", 0,
+           now);
+}
+
+void CellCore::CountVmHealth(VmState& vm, RunEnd end, const CellTime& now) {
+  if (end == RunEnd::kDone) {
+    vm.m_failures_in_row = 0;
+    vm.m_avoid_until_ms = 0;
+  } else if (end == RunEnd::kFailed) {
+    ++vm.m_failures_in_row;
+    if (vm.m_failures_in_row >= kFailuresBeforeAvoid) {
+      const std::uint32_t doublings =
+          std::min(vm.m_failures_in_row - kFailuresBeforeAvoid, kMostDoublings);
+      vm.m_avoid_until_ms = now.m_steady_ms + (kAvoidMs << doublings);
+    }
+  }
+}
+
+void CellCore::OnAdvice(const AdviceAnswer& answer, const CellTime& now) {
+  Job* job = m_state.FindJob(answer.m_step.m_job);
+  if (job == nullptr) {
+    return;
+  }
+  StepState& step = job->OccurrenceAt(answer.m_step.m_occurrence)
+                        .m_steps[answer.m_step.m_step];
+  step.m_asked.clear();
+  m_dirty = true;
+  if (!answer.m_ok) {
+    step.m_next_ask_ms = now.m_steady_ms + kRetryAdviceMs;
+    return;
+  }
+  for (const std::string& id : answer.m_asked) {
+    const VmState* vm = m_state.FindListedVm(id);
+    Advice& advice = step.m_advice[id];
+    advice.m_good = false;
+    advice.m_born = vm == nullptr ? 0 : vm->Life().m_born;
+  }
+  for (const AdviceAnswer::Row& row : answer.m_good) {
+    Advice& advice = step.m_advice[row.m_vm];
+    advice.m_good = true;
+    advice.m_ticket = row.m_ticket;
+    advice.m_valid_until_ms =
+        now.m_steady_ms + answer.m_validity_ms - kTicketTransitMs;
+  }
+  m_scheduler.OnAdvice(job->m_spec.m_queue.m_name, answer.m_asked.size(),
+                       answer.m_good.size());
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_entry.h
@@ -0,0 +1,149 @@
+// The caller's side of a cell in each daemon: gets the owner's answer over a
+// link, or from the owner in this process.
+//
+// All requests are idempotent by the job's id, so that a request whose link was
+// lost goes to the next owner with the same effect, until its deadline.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "cell/cell_request.h"
+#include "cell/timer_loop.h"
+
+namespace mustardslip {
+
+template <TimerLoop Loop>
+class CellEntry {
+ public:
+  using AnswerDone = std::function<void(CellAnswer)>;
+  using LocalOwner = std::function<void(CellRequest, AnswerDone)>;
+  using SendToOwner = std::function<void(const LinkMessage&)>;
+
+  explicit CellEntry(Loop& loop)
+      : m_loop(loop), m_alive(std::make_shared<bool>(true)) {}
+  ~CellEntry() { *m_alive = false; }
+
+  CellEntry(const CellEntry&) = delete;
+  CellEntry& operator=(const CellEntry&) = delete;
+
+  // Requests go to the owner in this process from now on.
+  void UseLocal(LocalOwner owner) {
+    m_local = std::move(owner);
+    m_send = nullptr;
+    SendAll();
+  }
+
+  // Requests go over a link that was welcomed by the owner.
+  void UseLink(SendToOwner send) {
+    m_send = std::move(send);
+    m_local = nullptr;
+    SendAll();
+  }
+
+  // The owner is gone: open requests wait for the next one.
+  void UseNone() {
+    m_local = nullptr;
+    m_send = nullptr;
+    ++m_epoch;
+    for (auto& [number, open] : m_open) {
+      open.m_sent = false;
+    }
+  }
+
+  bool Connected() const { return m_local != nullptr || m_send != nullptr; }
+  std::size_t OpenRequests() const { return m_open.size(); }
+
+  // `done` runs once, at the latest `wait_ms` from now. An unanswered request
+  // ends as kUnknown: it may have been carried out.
+  void Handle(CellRequest request, std::int64_t wait_ms, AnswerDone done) {
+    const std::uint64_t number = ++m_last_number;
+    m_open[number] = {std::move(request), std::move(done), false};
+    m_loop.After(std::max<std::int64_t>(1, wait_ms),
+                 [this, alive = m_alive, number] {
+                   if (*alive) {
+                     GiveUp(number);
+                   }
+                 });
+    Send(number);
+  }
+
+  void OnAnswer(std::uint64_t number, CellAnswer answer) {
+    const auto found = m_open.find(number);
+    if (found == m_open.end()) {
+      return;
+    }
+    const OpenRequest open = std::move(found->second);
+    m_open.erase(found);
+    open.m_done(std::move(answer));
+  }
+
+ private:
+  struct OpenRequest {
+    CellRequest m_request;
+    AnswerDone m_done;
+    bool m_sent = false;
+  };
+
+  void SendAll() {
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, open] : m_open) {
+      numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers) {
+      Send(number);
+    }
+  }
+
+  void Send(std::uint64_t number) {
+    const auto found = m_open.find(number);
+    if (found == m_open.end() || found->second.m_sent) {
+      return;
+    }
+    if (m_local) {
+      found->second.m_sent = true;
+      m_local(found->second.m_request, [this, alive = m_alive, number,
+                                        epoch = m_epoch](CellAnswer answer) {
+        if (*alive && epoch == m_epoch) {
+          OnAnswer(number, std::move(answer));
+        }
+      });
+    } else if (m_send) {
+      found->second.m_sent = true;
+      LinkMessage message;
+      message.m_kind = LinkMessageKind::kRequest;
+      message.m_number = number;
+      message.m_request = found->second.m_request;
+      m_send(message);
+    }
+  }
+
+  void GiveUp(std::uint64_t number) {
+    if (m_open.count(number) == 0) {
+      return;
+    }
+    CellAnswer answer;
+    answer.m_outcome = CellOutcome::kUnknown;
+    answer.m_reason = Connected() ? "no_answer_in_time" : "no_owner";
+    answer.m_retry_after_ms = kRetryMs;
+    OnAnswer(number, std::move(answer));
+  }
+
+  static constexpr std::int64_t kRetryMs = 1'000;
+
+  Loop& m_loop;
+  std::shared_ptr<bool> m_alive;
+  LocalOwner m_local;
+  SendToOwner m_send;
+  // Grows with each loss of an owner, so that its late answers are dropped.
+  std::uint64_t m_epoch = 0;
+  std::map<std::uint64_t, OpenRequest> m_open;
+  std::uint64_t m_last_number = 0;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_owner.h
@@ -0,0 +1,401 @@
+// The driver of the owner of a cell: loads the log, feeds the core with events,
+// writes its batches and carries out its effects.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/advice_queue.h"
+#include "cell/cell_core.h"
+#include "cell/cell_platform.h"
+#include "cell/cell_request.h"
+#include "cell/owner_log.h"
+#include "cell/ownership.h"
+#include "cell/prefix_feed.h"
+#include "cell/vm_holder.h"
+#include "common/logger.h"
+
+namespace mustardslip {
+
+// Reads an entry of the platform's VM list; nullopt names no VM to use.
+using VmDecoder =
+    std::function<std::optional<VmDescription>(const StoreItem& item)>;
+
+struct CellOwnerOptions {
+  CellBounds m_bounds;
+  // Of the platform's VM list in the store.
+  std::string m_vm_prefix;
+  VmDecoder m_decode_vm;
+};
+
+template <AsyncStore Store, TimerLoop Loop, VmControl Vms,
+          AdviceService AdvicePort>
+class CellOwner {
+ public:
+  using AnswerDone = std::function<void(CellAnswer)>;
+  // Sends a call for advice to another daemon.
+  using RemoteAsk = std::function<void(std::uint64_t daemon,
+                                       std::uint64_t number, const AskAdvice&)>;
+
+  struct Handlers {
+    std::function<void()> m_on_ready;
+    std::function<void()> m_on_superseded;
+    RemoteAsk m_remote_ask;
+  };
+
+  CellOwner(Store& store, Loop& loop, Vms& vms, AdvicePort& advice,
+            CellOwnerOptions options, const OwnerRecord& owner,
+            Handlers handlers)
+      : m_loop(loop),
+        m_vms(vms),
+        m_advice(advice),
+        m_options(std::move(options)),
+        m_owner(owner),
+        m_handlers(std::move(handlers)),
+        m_alive(std::make_shared<bool>(true)),
+        m_core(m_options.m_bounds),
+        m_log(store, loop),
+        m_holder(vms, loop, m_core, owner.m_revision,
+                 {[this] { PumpSoon(); }, [this] { Superseded(); }}),
+        m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs,
+                  VmHandlers()) {
+    m_asks.AddDaemon(kThisDaemon);
+    m_log.OnSuperseded([this] { Superseded(); });
+  }
+
+  ~CellOwner() { *m_alive = false; }
+
+  CellOwner(const CellOwner&) = delete;
+  CellOwner& operator=(const CellOwner&) = delete;
+
+  void Start() {
+    m_started_ms = m_loop.Now().m_steady_ms;
+    m_log.Load(m_owner.m_revision,
+               [this](auto loaded) { OnLoaded(std::move(loaded)); });
+  }
+
+  bool Ready() const { return m_ready; }
+
+  void OnRules(const CellRules& rules) {
+    m_core.OnRules(rules);
+    PumpSoon();
+  }
+
+  // Requires Ready().
+  void Handle(CellRequest request, AnswerDone done) {
+    const std::uint64_t token = ++m_last_token;
+    m_waiting[token] = {std::move(done), request.m_method, request.m_job};
+    const CellTime now = m_loop.Now();
+    switch (request.m_method) {
+      case CellMethod::kSubmit:
+        m_core.Submit(token, std::move(request.m_spec), now);
+        break;
+      case CellMethod::kCancel:
+        m_core.Cancel(token, request.m_queue, request.m_job, now);
+        break;
+      case CellMethod::kLookup:
+        m_core.Lookup(token, request.m_queue, request.m_job);
+        break;
+      case CellMethod::kCount:
+        m_core.CountWaiting(token, request.m_queue);
+        break;
+    }
+    PumpSoon();
+  }
+
+  // Other daemons that can ask for advice.
+  void AddDaemon(std::uint64_t daemon) { m_asks.AddDaemon(daemon); }
+  void RemoveDaemon(std::uint64_t daemon) {
+    FailAsks(m_asks.RemoveDaemon(daemon));
+  }
+  void OnRemoteAdvice(std::uint64_t daemon, std::uint64_t number,
+                      AdviceAnswer answer) {
+    if (m_asks.Finish(daemon, number)) {
+      m_core.OnAdvice(answer, m_loop.Now());
+      PumpSoon();
+    }
+  }
+
+  // Nothing is in flight towards the store: the cell can be given up without
+  // leaving callers in doubt.
+  bool Idle() const { return !m_log.Writing() && !m_core.HasOpenBatch(); }
+
+  const CellCore& Core() const { return m_core; }
+
+ private:
+  static constexpr std::uint64_t kThisDaemon = 0;
+  static constexpr std::int64_t kTickMs = 40;
+  static constexpr std::int64_t kVmWatchMs = 1'000;
+  // Least time between two writes to the log: each write is priced, and a
+  // larger batch costs no more.
+  static constexpr std::int64_t kCommitIntervalMs = 20;
+  // A write that takes longer than this shows that the store takes none.
+  static constexpr std::int64_t kStoreStalledMs = 700;
+
+  struct Waiting {
+    AnswerDone m_done;
+    CellMethod m_method = CellMethod::kLookup;
+    std::string m_job;
+  };
+
+  // --- Recovery ---
+
+  void OnLoaded(typename OwnerLog<Store, Loop>::Loaded loaded) {
+    for (const LogRecord& record : loaded.m_records) {
+      m_core.Replay(record);
+    }
+    m_core.OnRecovered(m_loop.Now());
+    Log(LogLevel::kInfo, LogCategory::kLedger, "log_loaded",
+        {{"segments", loaded.m_segments},
+         {"records", loaded.m_records.size()},
+         {"jobs", m_core.State().Jobs().size()},
+         {"took_ms", m_loop.Now().m_steady_ms - m_started_ms}});
+    m_vm_feed.Start();
+  }
+
+  typename PrefixFeed<Store, Loop>::Handlers VmHandlers() {
+    typename PrefixFeed<Store, Loop>::Handlers handlers;
+    handlers.m_on_item = [this](const StoreItem& item) { OnVmItem(item); };
+    handlers.m_on_deleted = [this](const std::string& key) { OnVmGone(key); };
+    handlers.m_on_listed = [this](const std::set<std::string>& keys) {
+      OnVmList(keys);
+    };
+    return handlers;
+  }
+
+  void OnVmItem(const StoreItem& item) {
+    const auto vm = m_options.m_decode_vm(item);
+    if (!vm) {
+      OnVmGone(item.m_key);
+      return;
+    }
+    m_vm_of_key[item.m_key] = vm->m_life.m_id;
+    m_core.OnVmListed(*vm, m_loop.Now());
+    PumpSoon();
+  }
+
+  void OnVmGone(const std::string& key) {
+    const auto found = m_vm_of_key.find(key);
+    if (found != m_vm_of_key.end()) {
+      m_core.OnVmUnlisted(found->second, m_loop.Now());
+      m_vm_of_key.erase(found);
+    }
+  }
+
+  void OnVmList(const std::set<std::string>& keys) {
+    std::vector<std::string> gone;
+    for (const auto& [key, id] : m_vm_of_key) {
+      if (keys.count(key) == 0) {
+        gone.push_back(key);
+      }
+    }
+    for (const std::string& key : gone) {
+      OnVmGone(key);
+    }
+    if (!m_ready) {
+      m_ready = true;
+      Tick();
+      m_handlers.m_on_ready();
+    }
+  }
+
+  // --- Time ---
+
+  void Tick() {
+    const CellTime now = m_loop.Now();
+    m_core.OnTick(now);
+    FailAsks(m_asks.TakeLate(now.m_steady_ms));
+    const bool reached_store =
+        now.m_steady_ms - std::max(m_log.LastAnswerMs(), m_renewed_ms) <
+        kHoldWithoutStoreMs;
+    m_holder.OnTick(reached_store);
+    m_core.SetStoreWritable(m_log.StalledMs() < kStoreStalledMs);
+    Pump();
+    Later(kTickMs, [this] { Tick(); });
+  }
+
+ public:
+  // The store confirmed the ownership by a renewal that was sent at this time.
+  void OnRenewed(std::int64_t sent_ms) { m_renewed_ms = sent_ms; }
+
+ private:
+  void PumpSoon() {
+    if (m_pump_pending || !m_ready) {
+      return;
+    }
+    m_pump_pending = true;
+    Later(0, [this] {
+      m_pump_pending = false;
+      Pump();
+    });
+  }
+
+  void Pump() {
+    CarryOut();
+    const CellTime now = m_loop.Now();
+    const std::int64_t wait_ms =
+        m_last_commit_ms + kCommitIntervalMs - now.m_steady_ms;
+    if (m_log.Writing()) {
+      return;
+    }
+    if (wait_ms > 0) {
+      CommitLater(wait_ms);
+      return;
+    }
+    m_core.Schedule(now, m_asks.FreeCalls());
+    CarryOut();
+    if (m_core.HasOpenBatch()) {
+      Commit(now);
+    }
+  }
+
+  void CommitLater(std::int64_t wait_ms) {
+    if (m_commit_pending) {
+      return;
+    }
+    m_commit_pending = true;
+    Later(wait_ms, [this] {
+      m_commit_pending = false;
+      Pump();
+    });
+  }
+
+  void Commit(const CellTime& now) {
+    m_last_commit_ms = now.m_steady_ms;
+    const std::vector<LogRecord>& batch = m_core.BeginBatch();
+    std::shared_ptr<std::vector<LogRecord>> snapshot;
+    if (m_log.WantsSnapshot()) {
+      // The state as it is once this batch is durable.
+      snapshot =
+          std::make_shared<std::vector<LogRecord>>(m_core.State().Snapshot());
+    }
+    m_log.Append(EncodeRecords(batch), [this, snapshot] {
+      if (snapshot) {
+        m_log.WriteSnapshot(*snapshot);
+      }
+      m_core.OnDurable(m_loop.Now());
+      // Without delay, as starts wait for this.
+      CarryOut();
+      PumpSoon();
+    });
+  }
+
+  // --- Effects ---
+
+  void CarryOut() {
+    for (Effect& effect : m_core.TakeEffects()) {
+      std::visit([this](auto& one) { Do(one); }, effect);
+    }
+  }
+
+  void Do(StartRun& start) {
+    m_vms.Start(start, m_owner.m_revision,
+                [this, alive = m_alive](const StartAnswer& answer) {
+                  if (!*alive) {
+                    return;
+                  }
+                  if (answer.m_outcome == StartOutcome::kSuperseded) {
+                    Superseded();
+                    return;
+                  }
+                  m_core.OnStartAnswer(answer, m_loop.Now());
+                  PumpSoon();
+                });
+  }
+
+  void Do(StopRun& stop) {
+    m_vms.Stop(stop, m_owner.m_revision, [](const Result<void>&) {
+      // The end of the run is listed by the VM; without it the stop is sent
+      // again.
+    });
+  }
+
+  void Do(AskAdvice& ask) {
+    const auto assignment = m_asks.Assign(ask, m_loop.Now().m_steady_ms);
+    if (!assignment) {
+      FailAsks({ask});
+      return;
+    }
+    if (assignment->m_daemon != kThisDaemon) {
+      m_handlers.m_remote_ask(assignment->m_daemon, assignment->m_number, ask);
+      return;
+    }
+    m_advice.Ask(ask, [this, alive = m_alive,
+                       number = assignment->m_number](AdviceAnswer answer) {
+      if (*alive) {
+        OnRemoteAdvice(kThisDaemon, number, std::move(answer));
+      }
+    });
+  }
+
+  void Do(ReplyToCaller& reply) {
+    const auto found = m_waiting.find(reply.m_token);
+    if (found == m_waiting.end()) {
+      return;
+    }
+    const Waiting waiting = std::move(found->second);
+    m_waiting.erase(found);
+    waiting.m_done(std::move(reply.m_answer));
+  }
+
+  void FailAsks(const std::vector<AskAdvice>& asks) {
+    for (const AskAdvice& ask : asks) {
+      AdviceAnswer failed;
+      failed.m_step = ask.m_step;
+      failed.m_asked = ask.m_vms;
+      m_core.OnAdvice(failed, m_loop.Now());
+    }
+  }
+
+  void Superseded() {
+    if (m_superseded) {
+      return;
+    }
+    m_superseded = true;
+    m_loop.After(0, [this, alive = m_alive] {
+      if (*alive) {
+        m_handlers.m_on_superseded();
+      }
+    });
+  }
+
+  void Later(std::int64_t ms, std::function<void()> task) {
+    m_loop.After(ms, [alive = m_alive, task = std::move(task)] {
+      if (*alive) {
+        task();
+      }
+    });
+  }
+
+  Loop& m_loop;
+  Vms& m_vms;
+  AdvicePort& m_advice;
+  const CellOwnerOptions m_options;
+  const OwnerRecord m_owner;
+  const Handlers m_handlers;
+  std::shared_ptr<bool> m_alive;
+  CellCore m_core;
+  OwnerLog<Store, Loop> m_log;
+  VmHolder<Vms, Loop> m_holder;
+  PrefixFeed<Store, Loop> m_vm_feed;
+  AdviceQueue m_asks;
+  std::map<std::string, std::string> m_vm_of_key;
+  std::map<std::uint64_t, Waiting> m_waiting;
+  std::uint64_t m_last_token = 0;
+  bool m_ready = false;
+  bool m_superseded = false;
+  bool m_pump_pending = false;
+  bool m_commit_pending = false;
+  std::int64_t m_started_ms = 0;
+  std::int64_t m_last_commit_ms = 0;
+  std::int64_t m_renewed_ms = 0;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_platform.h
@@ -0,0 +1,52 @@
+// What a cell needs from the platform beside the store: orders to VMs and
+// advice. Each concept is one interface; platform adapters and test fakes
+// implement it.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "cell/cell_types.h"
+#include "common/result.h"
+
+namespace mustardslip {
+
+// Renews a VM's lease, raises its fence, and reads its lists of runs.
+struct HoldOrder {
+  VmLife m_vm;
+  std::string m_address;
+  std::int64_t m_fence = 0;
+  // The VM may forget ends up to this one.
+  std::uint64_t m_last_end = 0;
+  // On the VM's clock; nullopt leaves the lease as it is.
+  std::optional<std::int64_t> m_lease_until_vm_ms;
+  // How long the VM may wait for an end before it answers.
+  std::int64_t m_wait_ms = 0;
+};
+
+using HoldDone = std::function<void(Result<VmReport>)>;
+using StartDone = std::function<void(StartAnswer)>;
+using StopDone = std::function<void(Result<void>)>;
+using AdviceDone = std::function<void(AdviceAnswer)>;
+
+// Errors of Hold and Stop: kStaleEpoch if the VM has seen a higher fence,
+// kNotFound if another life answered, otherwise as for any call. No call is
+// sent twice.
+template <typename V>
+concept VmControl = requires(V vms, const HoldOrder& hold,
+                             const StartRun& start, const StopRun& stop,
+                             std::int64_t fence) {
+  vms.Hold(hold, HoldDone());
+  vms.Start(start, fence, StartDone());
+  vms.Stop(stop, fence, StopDone());
+};
+
+template <typename A>
+concept AdviceService = requires(A service, const AskAdvice& ask) {
+  service.Ask(ask, AdviceDone());
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_state.cc
@@ -0,0 +1,359 @@
+// Applies log records to the state of a cell.
+#include "cell/cell_state.h"
+
+#include <algorithm>
+
+namespace mustardslip {
+namespace {
+
+// What a run takes from a VM: a step that fills idle processors takes memory
+// and accelerators only.
+Resources ChargeOf(const StepSpec& step) {
+  Resources charge = step.m_resources;
+  if (step.m_fills_idle) {
+    charge.m_cpu_millis = 0;
+  }
+  return charge;
+}
+
+}  // namespace
+
+void CellState::Apply(const LogRecord& record) {
+  std::visit([this](const auto& one) { ApplyOne(one); }, record);
+}
+
+Job* CellState::FindJob(const std::string& id) {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const Job* CellState::FindJob(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+VmState& CellState::VmOf(const VmLife& life) {
+  const auto [found, created] = m_vms.try_emplace(life);
+  if (created) {
+    found->second.m_description.m_life = life;
+  }
+  return found->second;
+}
+
+VmState* CellState::FindVm(const VmLife& life) {
+  const auto found = m_vms.find(life);
+  return found == m_vms.end() ? nullptr : &found->second;
+}
+
+VmState* CellState::FindListedVm(const std::string& id) {
+  VmState* newest = nullptr;
+  for (auto vm = m_vms.lower_bound(VmLife{id, INT64_MIN});
+       vm != m_vms.end() && vm->first.m_id == id; ++vm) {
+    if (vm->second.m_listed) {
+      newest = &vm->second;
+    }
+  }
+  return newest;
+}
+
+Resources CellState::TeamUsage(const std::string& team) const {
+  const auto found = m_team_usage.find(team);
+  return found == m_team_usage.end() ? Resources{} : found->second;
+}
+
+StepState* CellState::FindStep(const TaskRef& task) {
+  Job* job = FindJob(task.m_job);
+  if (job == nullptr || task.m_step >= job->m_spec.m_steps.size()) {
+    return nullptr;
+  }
+  const auto occurrence = job->m_occurrences.find(task.m_occurrence);
+  if (occurrence == job->m_occurrences.end()) {
+    return nullptr;
+  }
+  return &occurrence->second.m_steps[task.m_step];
+}
+
+TaskState* CellState::FindTask(const TaskRef& task) {
+  StepState* step = FindStep(task);
+  if (step == nullptr || task.m_index >= step->m_tasks.size()) {
+    return nullptr;
+  }
+  return &step->m_tasks[task.m_index];
+}
+
+OpenRun* CellState::FindRun(const TaskRef& task, std::uint32_t number) {
+  TaskState* state = FindTask(task);
+  if (state == nullptr) {
+    return nullptr;
+  }
+  for (OpenRun& run : state->m_open) {
+    if (run.m_number == number) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+void CellState::ApplyOne(const JobAccepted& record) {
+  const auto [found, created] = m_jobs.try_emplace(record.m_spec.m_id);
+  if (!created) {
+    return;
+  }
+  found->second = std::make_unique<Job>(MakeJob(record));
+  m_active[found->first] = found->second.get();
+  m_changed.push_back(found->first);
+}
+
+void CellState::ApplyOne(const JobCancelled& record) {
+  Job* job = FindJob(record.m_job);
+  if (job == nullptr || job->Ended()) {
+    return;
+  }
+  job->m_cancelled = true;
+  job->m_ended_unix_ms = record.m_unix_ms;
+  m_changed.push_back(record.m_job);
+  UpdateActive(record.m_job, *job);
+}
+
+void CellState::ApplyOne(const RunPlanned& record) {
+  Job* job = FindJob(record.m_task.m_job);
+  if (job == nullptr || record.m_task.m_step >= job->m_spec.m_steps.size()) {
+    return;
+  }
+  Occurrence& occurrence = job->OccurrenceAt(record.m_task.m_occurrence);
+  StepState& step = occurrence.m_steps[record.m_task.m_step];
+  if (record.m_task.m_index >= step.m_tasks.size()) {
+    return;
+  }
+  TaskState& task = step.m_tasks[record.m_task.m_index];
+  OpenRun run;
+  run.m_number = record.m_run;
+  run.m_vm = record.m_vm;
+  task.m_open.push_back(run);
+  task.m_last_run = std::max(task.m_last_run, record.m_run);
+  step.m_last_run = std::max(step.m_last_run, record.m_run);
+  ++step.m_open;
+  ++job->m_open_runs;
+  job->m_begun = true;
+
+  const Resources charge = ChargeOf(job->m_spec.m_steps[record.m_task.m_step]);
+  VmState& vm = VmOf(record.m_vm);
+  vm.m_open[{record.m_task, record.m_run}] = charge;
+  vm.m_used = vm.m_used + charge;
+  Resources& usage = m_team_usage[job->m_spec.m_team];
+  usage = usage + job->m_spec.m_steps[record.m_task.m_step].m_resources;
+  m_changed.push_back(record.m_task.m_job);
+}
+
+void CellState::ApplyOne(const RunEnded& record) {
+  VmState& vm = VmOf(record.m_vm);
+  vm.m_last_end = std::max(vm.m_last_end, record.m_sequence);
+  if (const auto open = vm.m_open.find({record.m_task, record.m_run});
+      open != vm.m_open.end()) {
+    vm.m_used = vm.m_used - open->second;
+    vm.m_open.erase(open);
+  }
+  Job* job = FindJob(record.m_task.m_job);
+  if (job == nullptr || FindTask(record.m_task) == nullptr) {
+    return;
+  }
+  CloseRun(*job, record);
+  CountEnd(*job, record);
+  m_changed.push_back(record.m_task.m_job);
+  UpdateActive(record.m_task.m_job, *job);
+}
+
+void CellState::CloseRun(Job& job, const RunEnded& record) {
+  StepState& step = *FindStep(record.m_task);
+  TaskState& task = step.m_tasks[record.m_task.m_index];
+  const auto run = std::find_if(
+      task.m_open.begin(), task.m_open.end(), [&](const OpenRun& open) {
+        return open.m_number == record.m_run && open.m_vm == record.m_vm;
+      });
+  if (run == task.m_open.end()) {
+    return;
+  }
+  task.m_open.erase(run);
+  --step.m_open;
+  --job.m_open_runs;
+  Resources& usage = m_team_usage[job.m_spec.m_team];
+  usage = usage - job.m_spec.m_steps[record.m_task.m_step].m_resources;
+}
+
+void CellState::CountEnd(Job& job, const RunEnded& record) {
+  Occurrence& occurrence = job.m_occurrences.at(record.m_task.m_occurrence);
+  StepState& step = occurrence.m_steps[record.m_task.m_step];
+  const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
+  TaskState& task = step.m_tasks[record.m_task.m_index];
+  if (!record.m_checkpoint.empty()) {
+    task.m_checkpoint = record.m_checkpoint;
+  }
+  if (job.Ended() || spec.m_long_lived) {
+    return;
+  }
+  if (record.m_end == RunEnd::kDone) {
+    const bool was_done = occurrence.Done();
+    if (spec.m_gang) {
+      // One member's end stands for all.
+      for (TaskState& member : step.m_tasks) {
+        MarkDone(occurrence, step, member);
+      }
+    } else {
+      MarkDone(occurrence, step, task);
+    }
+    if (!was_done && occurrence.Done()) {
+      ++job.m_done_occurrences;
+      if (job.m_done_occurrences == job.OccurrenceCount()) {
+        job.m_complete = true;
+        job.m_ended_unix_ms = record.m_unix_ms;
+      }
+    }
+  } else if (record.m_end == RunEnd::kFailed && !task.m_done) {
+    CountFailure(job, step, task, record);
+  }
+}
+
+void CellState::MarkDone(Occurrence& occurrence, StepState& step,
+                         TaskState& task) {
+  if (task.m_done) {
+    return;
+  }
+  task.m_done = true;
+  ++step.m_done;
+  if (step.Done()) {
+    ++occurrence.m_done_steps;
+  }
+}
+
+void CellState::CountFailure(Job& job, StepState& step, TaskState& task,
+                             const RunEnded& record) {
+  const bool gang = job.m_spec.m_steps[record.m_task.m_step].m_gang;
+  if (gang && step.m_last_failed_run >= record.m_run) {
+    return;
+  }
+  task.m_last_failed_vm = record.m_vm.m_id;
+  std::uint32_t& failures = gang ? step.m_gang_failures : task.m_failures;
+  ++failures;
+  step.m_last_failed_run = std::max(step.m_last_failed_run, record.m_run);
+  if (failures >= job.m_spec.m_queue.m_max_attempts) {
+    job.m_failed = true;
+    job.m_ended_unix_ms = record.m_unix_ms;
+  }
+}
+
+void CellState::UpdateActive(const std::string& id, Job& job) {
+  if (job.Ended() && job.m_open_runs == 0) {
+    m_active.erase(id);
+  }
+}
+
+void CellState::ApplyOne(const TaskSnapshot& record) {
+  Job* job = FindJob(record.m_task.m_job);
+  if (job == nullptr || record.m_task.m_step >= job->m_spec.m_steps.size()) {
+    return;
+  }
+  Occurrence& occurrence = job->OccurrenceAt(record.m_task.m_occurrence);
+  StepState& step = occurrence.m_steps[record.m_task.m_step];
+  if (record.m_task.m_index >= step.m_tasks.size()) {
+    return;
+  }
+  TaskState& task = step.m_tasks[record.m_task.m_index];
+  task.m_last_run = record.m_last_run;
+  step.m_last_run = std::max(step.m_last_run, record.m_last_run);
+  task.m_failures = record.m_failures;
+  if (job->m_spec.m_steps[record.m_task.m_step].m_gang) {
+    step.m_gang_failures = record.m_failures;
+    step.m_last_failed_run = record.m_last_run;
+  }
+  task.m_checkpoint = record.m_checkpoint;
+  if (record.m_done) {
+    MarkDone(occurrence, step, task);
+    if (occurrence.Done()) {
+      ++job->m_done_occurrences;
+    }
+  }
+}
+
+void CellState::ApplyOne(const VmSnapshot& record) {
+  VmState& vm = VmOf(record.m_vm);
+  vm.m_last_end = std::max(vm.m_last_end, record.m_last_end);
+}
+
+void CellState::ApplyOne(const JobSnapshot& record) {
+  Job* job = FindJob(record.m_job);
+  if (job == nullptr) {
+    return;
+  }
+  job->m_begun = job->m_begun || record.m_begun;
+  job->m_ended_unix_ms = record.m_ended_unix_ms;
+  if (record.m_failed) {
+    job->m_failed = true;
+  } else if (record.m_ended_unix_ms != 0 && !job->m_cancelled) {
+    job->m_complete = true;
+  }
+  UpdateActive(record.m_job, *job);
+}
+
+void CellState::DropEndedBefore(std::int64_t unix_ms) {
+  std::erase_if(m_jobs, [&](const auto& entry) {
+    const Job& job = *entry.second;
+    const bool drop =
+        job.Ended() && job.m_open_runs == 0 && job.m_ended_unix_ms < unix_ms;
+    if (drop) {
+      m_active.erase(entry.first);
+    }
+    return drop;
+  });
+}
+
+std::vector<LogRecord> CellState::Snapshot() const {
+  std::vector<LogRecord> records;
+  std::vector<LogRecord> open;
+  for (const auto& [id, job] : m_jobs) {
+    records.push_back(JobAccepted{job->m_spec, job->m_accepted_unix_ms});
+    const bool ended = job->m_complete || job->m_failed || job->m_cancelled;
+    for (const auto& [number, occurrence] : job->m_occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        const StepState& step = occurrence.m_steps[s];
+        const bool gang = job->m_spec.m_steps[s].m_gang;
+        for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
+          const TaskState& task = step.m_tasks[t];
+          if (task.m_last_run == 0 && !task.m_done) {
+            continue;
+          }
+          const TaskRef ref{id, number, s, t};
+          // The result of an ended job needs no details of its tasks.
+          if (!ended) {
+            records.push_back(
+                TaskSnapshot{ref, task.m_last_run,
+                             gang ? step.m_gang_failures : task.m_failures,
+                             task.m_done, task.m_checkpoint});
+          }
+          for (const OpenRun& run : task.m_open) {
+            open.push_back(RunPlanned{ref, run.m_number, run.m_vm});
+          }
+        }
+      }
+    }
+    if (job->m_cancelled) {
+      records.push_back(JobCancelled{id, job->m_ended_unix_ms});
+    }
+    records.push_back(
+        JobSnapshot{id, job->m_ended_unix_ms, job->m_failed, job->m_begun});
+  }
+  records.insert(records.end(), open.begin(), open.end());
+  for (const auto& [life, vm] : m_vms) {
+    if (vm.m_last_end > 0) {
+      records.push_back(VmSnapshot{life, vm.m_last_end});
+    }
+  }
+  return records;
+}
+
+std::vector<std::string> CellState::TakeChangedJobs() {
+  std::vector<std::string> changed;
+  changed.swap(m_changed);
+  return changed;
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/ownership.h
@@ -0,0 +1,368 @@
+// Which daemon owns the cell: one record in the store, under a lease.
+//
+// A daemon takes the record when it is absent, or when it knows that the
+// process in it is dead (its address refuses connections, or another process
+// answers there). Nothing depends on that knowledge being right: the record's
+// revision fences the log, and the fence of each VM stops what an earlier owner
+// still sends.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cell/async_store.h"
+#include "cell/owner_log.h"
+#include "cell/prefix_feed.h"
+#include "cell/timer_loop.h"
+#include "common/logger.h"
+
+namespace mustardslip {
+
+struct OwnerRecord {
+  // One life of one daemon.
+  std::string m_instance;
+  // "host:port" for other daemons.
+  std::string m_address;
+  // Of the record in the store; the owner's fence at the VMs.
+  Revision m_revision = 0;
+
+  bool operator==(const OwnerRecord&) const = default;
+};
+
+inline std::string EncodeOwner(const OwnerRecord& owner) {
+  return nlohmann::json{{"instance", owner.m_instance},
+                        {"address", owner.m_address}}
+      .dump();
+}
+
+// nullopt for a value that is no owner record.
+inline std::optional<OwnerRecord> DecodeOwner(const StoreItem& item) {
+  const auto json = nlohmann::json::parse(item.m_value, nullptr, false);
+  if (!json.is_object() || !json.contains("instance") ||
+      !json.contains("address") || !json["instance"].is_string() ||
+      !json["address"].is_string()) {
+    return std::nullopt;
+  }
+  return OwnerRecord{json["instance"], json["address"], item.m_revision};
+}
+
+struct OwnershipOptions {
+  std::string m_instance;
+  std::string m_address;
+  // How long the store keeps the record of a silent owner.
+  std::int64_t m_lease_ms = 2'000;
+  // How long this daemon waits before it takes a free record: daemons with more
+  // processor time wait less.
+  std::int64_t m_candidacy_delay_ms = 0;
+};
+
+template <AsyncStore Store, TimerLoop Loop>
+class Ownership {
+ public:
+  struct Handlers {
+    // This daemon owns the cell now.
+    std::function<void(const OwnerRecord&)> m_on_acquired;
+    // It no longer does.
+    std::function<void()> m_on_lost;
+    // Another daemon owns it, or nobody (nullopt).
+    std::function<void(const std::optional<OwnerRecord>&)> m_on_owner;
+  };
+
+  Ownership(Store& store, Loop& loop, OwnershipOptions options,
+            Handlers handlers)
+      : m_store(store),
+        m_loop(loop),
+        m_options(std::move(options)),
+        m_handlers(std::move(handlers)),
+        m_alive(std::make_shared<bool>(true)),
+        m_feed(store, loop, std::string(kOwnerKey), kWatchMs, FeedHandlers()) {}
+
+  ~Ownership() { *m_alive = false; }
+
+  Ownership(const Ownership&) = delete;
+  Ownership& operator=(const Ownership&) = delete;
+
+  void Start() { m_feed.Start(); }
+
+  bool Owns() const { return m_owned.has_value(); }
+  const std::optional<OwnerRecord>& Known() const { return m_known; }
+
+  // The process in the record of this revision is known to be dead.
+  void OnOwnerDead(Revision revision) {
+    if (m_known && m_known->m_revision == revision && !m_owned) {
+      m_dead_revision = revision;
+      BecomeCandidate(0);
+    }
+  }
+
+  // The log found another owner.
+  void OnSuperseded() { Lose("superseded"); }
+
+  // Gives the cell up, so that another daemon takes it at once, and takes it no
+  // more.
+  void Resign() {
+    m_resigned = true;
+    if (m_owned) {
+      Lose("resigned");
+    }
+    if (m_lease != 0) {
+      m_store.EndLease(m_lease, [](Result<bool>) {});
+      m_lease = 0;
+    }
+  }
+
+  // Steady clock at which the last renewal that the store confirmed was sent.
+  std::int64_t LastConfirmedMs() const { return m_confirmed_ms; }
+
+ private:
+  static constexpr std::int64_t kWatchMs = 3'000;
+  static constexpr std::int64_t kRetryMs = 100;
+  // Renewals in one lease.
+  static constexpr std::int64_t kRenewalsPerLease = 4;
+  static constexpr std::int64_t kCommitTimeoutMs = 600;
+
+  typename PrefixFeed<Store, Loop>::Handlers FeedHandlers() {
+    typename PrefixFeed<Store, Loop>::Handlers handlers;
+    handlers.m_on_item = [this](const StoreItem& item) {
+      if (item.m_key == kOwnerKey) {
+        OnRecord(item);
+      }
+    };
+    handlers.m_on_deleted = [this](const std::string& key) {
+      if (key == kOwnerKey) {
+        OnAbsent();
+      }
+    };
+    handlers.m_on_listed = [this](const std::set<std::string>& keys) {
+      if (keys.count(std::string(kOwnerKey)) == 0) {
+        OnAbsent();
+      }
+    };
+    return handlers;
+  }
+
+  void OnRecord(const StoreItem& item) {
+    // A list that was overtaken by this daemon's own write.
+    if (item.m_revision < m_newest_revision) {
+      return;
+    }
+    m_newest_revision = item.m_revision;
+    auto owner = DecodeOwner(item);
+    if (!owner) {
+      Log(LogLevel::kError, LogCategory::kMembership, "owner_record_unreadable",
+          {{"revision", item.m_revision}});
+      m_dead_revision = item.m_revision;
+      BecomeCandidate(0);
+      return;
+    }
+    m_known = owner;
+    if (m_owned) {
+      if (owner->m_revision != m_owned->m_revision) {
+        Lose("another_owner");
+      }
+      return;
+    }
+    if (owner->m_instance == m_options.m_instance) {
+      // This daemon's own write, whose answer is still on its way or was lost.
+      if (m_lease != 0 && !m_resigned) {
+        Acquire(owner->m_revision);
+      }
+      return;
+    }
+    m_handlers.m_on_owner(m_known);
+    if (owner->m_address == m_options.m_address) {
+      // An earlier life at this address.
+      OnOwnerDead(owner->m_revision);
+    }
+  }
+
+  void OnAbsent() {
+    if (m_owned) {
+      Lose("record_gone");
+      return;
+    }
+    m_known.reset();
+    m_handlers.m_on_owner(std::nullopt);
+    BecomeCandidate(m_options.m_candidacy_delay_ms);
+  }
+
+  void BecomeCandidate(std::int64_t delay_ms) {
+    if (m_candidate || m_resigned) {
+      return;
+    }
+    m_candidate = true;
+    Later(delay_ms, [this] { Grant(); });
+  }
+
+  bool StillFree() const {
+    return !m_known || m_known->m_revision == m_dead_revision;
+  }
+
+  void EndCandidacy() {
+    m_candidate = false;
+    if (m_lease != 0) {
+      m_store.EndLease(m_lease, [](Result<bool>) {});
+      m_lease = 0;
+    }
+  }
+
+  void Grant() {
+    if (m_owned || m_resigned || !StillFree()) {
+      EndCandidacy();
+      return;
+    }
+    m_store.GrantLease(m_options.m_lease_ms, Guard<LeaseId>([this](auto lease) {
+                         if (!lease) {
+                           Later(kRetryMs, [this] { Grant(); });
+                           return;
+                         }
+                         m_lease = *lease;
+                         m_confirmed_ms = m_loop.Now().m_steady_ms;
+                         Write();
+                       }));
+  }
+
+  void Write() {
+    if (m_owned || !StillFree()) {
+      EndCandidacy();
+      return;
+    }
+    StoreTransaction transaction;
+    transaction.m_expected = {
+        {std::string(kOwnerKey), m_known ? m_known->m_revision : 0}};
+    transaction.m_puts = {
+        {std::string(kOwnerKey),
+         EncodeOwner({m_options.m_instance, m_options.m_address, 0}), m_lease}};
+    m_store.Commit(transaction, kCommitTimeoutMs,
+                   Guard<CommitAnswer>(
+                       [this](auto answer) { OnWritten(std::move(answer)); }));
+  }
+
+  void OnWritten(Result<CommitAnswer> answer) {
+    if (m_owned) {
+      return;
+    }
+    if (!answer) {
+      if (answer.error().Code() == ErrorCode::kNotFound) {
+        m_lease = 0;
+      }
+      // The same write again: its condition tells whether the first one was
+      // carried out.
+      Later(kRetryMs, [this] { m_lease == 0 ? Grant() : Write(); });
+      return;
+    }
+    if (answer->m_committed) {
+      Acquire(answer->m_revision);
+      return;
+    }
+    m_candidate = false;
+    for (const StoreItem& item : answer->m_current) {
+      if (item.m_key == kOwnerKey && item.m_revision != 0) {
+        OnRecord(item);
+      }
+    }
+    if (!m_owned && m_lease != 0) {
+      EndCandidacy();
+    }
+    if (answer->m_current.empty() && !m_owned) {
+      OnAbsent();
+    }
+  }
+
+  void Acquire(Revision revision) {
+    m_candidate = false;
+    m_newest_revision = std::max(m_newest_revision, revision);
+    m_owned = OwnerRecord{m_options.m_instance, m_options.m_address, revision};
+    m_known = m_owned;
+    Log(LogLevel::kInfo, LogCategory::kMembership, "cell_acquired",
+        {{"revision", revision}});
+    m_handlers.m_on_acquired(*m_owned);
+    Renew(m_lease);
+  }
+
+  void Renew(LeaseId lease) {
+    if (!m_owned || lease != m_lease) {
+      return;
+    }
+    const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
+    m_store.KeepLease(
+        lease, Guard<bool>([this, lease, sent_ms](auto kept) {
+          if (!m_owned || lease != m_lease) {
+            return;
+          }
+          if (kept) {
+            m_confirmed_ms = sent_ms;
+          } else if (kept.error().Code() == ErrorCode::kNotFound) {
+            m_lease = 0;
+            Lose("lease_ended");
+            return;
+          }
+          const std::int64_t wait_ms =
+              kept ? m_options.m_lease_ms / kRenewalsPerLease : kRetryMs;
+          Later(wait_ms, [this, lease] { Renew(lease); });
+        }));
+  }
+
+  void Lose(const char* reason) {
+    if (!m_owned) {
+      return;
+    }
+    Log(LogLevel::kWarning, LogCategory::kMembership, "cell_lost",
+        {{"revision", m_owned->m_revision}, {"reason", reason}});
+    const Revision own = m_owned->m_revision;
+    m_owned.reset();
+    m_handlers.m_on_lost();
+    if (m_resigned) {
+      return;
+    }
+    if (m_known && m_known->m_revision == own) {
+      // The record of this daemon, which it will not use again.
+      m_dead_revision = own;
+      BecomeCandidate(kRetryMs);
+    } else {
+      m_handlers.m_on_owner(m_known);
+    }
+  }
+
+  void Later(std::int64_t ms, std::function<void()> task) {
+    m_loop.After(ms, [alive = m_alive, task = std::move(task)] {
+      if (*alive) {
+        task();
+      }
+    });
+  }
+
+  template <typename T, typename Handler>
+  StoreCallback<T> Guard(Handler handler) {
+    return [alive = m_alive, handler = std::move(handler)](Result<T> result) {
+      if (*alive) {
+        handler(std::move(result));
+      }
+    };
+  }
+
+  Store& m_store;
+  Loop& m_loop;
+  const OwnershipOptions m_options;
+  const Handlers m_handlers;
+  std::shared_ptr<bool> m_alive;
+  std::optional<OwnerRecord> m_owned;
+  // The record in the store, as far as known.
+  std::optional<OwnerRecord> m_known;
+  Revision m_newest_revision = 0;
+  // The revision of a record whose process is known to be dead.
+  Revision m_dead_revision = 0;
+  bool m_candidate = false;
+  bool m_resigned = false;
+  LeaseId m_lease = 0;
+  std::int64_t m_confirmed_ms = 0;
+  PrefixFeed<Store, Loop> m_feed;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/prefix_feed.h
@@ -0,0 +1,164 @@
+// Keeps a copy of all keys with a prefix current: lists them, then watches.
+//
+// After discarded history, errors or a silent connection it lists again, so
+// that no change is missed. The receiver sees events in the order of revisions,
+// and after each list the set of all keys that exist.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "cell/async_store.h"
+#include "cell/timer_loop.h"
+
+namespace mustardslip {
+
+template <AsyncStore Store, TimerLoop Loop>
+class PrefixFeed {
+ public:
+  struct Handlers {
+    // A key was created or changed.
+    std::function<void(const StoreItem&)> m_on_item;
+    // A key was deleted.
+    std::function<void(const std::string& key)> m_on_deleted;
+    // A complete list was read: whatever is not in it does not exist.
+    std::function<void(const std::set<std::string>& keys)> m_on_listed;
+    // The store answered a read of this prefix; called with the loop's steady
+    // clock at which the read was sent.
+    std::function<void(std::int64_t sent_ms)> m_on_fresh;
+  };
+
+  // `watch_wait_ms`: how long one watch waits; also how soon a silent
+  // connection is noticed.
+  PrefixFeed(Store& store, Loop& loop, std::string prefix,
+             std::int64_t watch_wait_ms, Handlers handlers)
+      : m_store(store),
+        m_loop(loop),
+        m_prefix(std::move(prefix)),
+        m_watch_wait_ms(watch_wait_ms),
+        m_handlers(std::move(handlers)),
+        m_alive(std::make_shared<bool>(true)) {}
+
+  ~PrefixFeed() { *m_alive = false; }
+
+  PrefixFeed(const PrefixFeed&) = delete;
+  PrefixFeed& operator=(const PrefixFeed&) = delete;
+
+  void Start() { List(); }
+
+ private:
+  static constexpr std::int64_t kFirstRetryMs = 50;
+  static constexpr std::int64_t kLastRetryMs = 400;
+
+  void List() {
+    m_listed.clear();
+    m_list_sent_ms = m_loop.Now().m_steady_ms;
+    m_list_revision = 0;
+    ListPage("");
+  }
+
+  void ListPage(const std::string& after) {
+    m_store.List(m_prefix, after, Guard<ItemPage>([this](auto page) {
+                   if (!page) {
+                     RetryLater([this] { List(); });
+                     return;
+                   }
+                   OnPage(*page);
+                 }));
+  }
+
+  void OnPage(const ItemPage& page) {
+    // Pages are not a snapshot: the watch begins at the oldest page.
+    if (m_list_revision == 0) {
+      m_list_revision = page.m_store_revision;
+    }
+    for (const StoreItem& item : page.m_items) {
+      m_listed.insert(item.m_key);
+      m_handlers.m_on_item(item);
+    }
+    if (page.m_more && !page.m_items.empty()) {
+      ListPage(page.m_items.back().m_key);
+      return;
+    }
+    m_retry_ms = kFirstRetryMs;
+    m_revision = m_list_revision;
+    if (m_handlers.m_on_listed) {
+      m_handlers.m_on_listed(m_listed);
+    }
+    Fresh(m_list_sent_ms);
+    Watch();
+  }
+
+  void Watch() {
+    const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
+    m_store.Watch(m_prefix, m_revision, m_watch_wait_ms,
+                  Guard<WatchAnswer>([this, sent_ms](auto answer) {
+                    if (!answer) {
+                      // The watch may have missed events, or its history is
+                      // gone.
+                      RetryLater([this] { List(); });
+                      return;
+                    }
+                    OnEvents(*answer);
+                    Fresh(sent_ms);
+                    Watch();
+                  }));
+  }
+
+  void OnEvents(const WatchAnswer& answer) {
+    m_retry_ms = kFirstRetryMs;
+    for (const StoreEvent& event : answer.m_events) {
+      if (!event.m_deleted) {
+        m_handlers.m_on_item(event.m_item);
+      } else if (m_handlers.m_on_deleted) {
+        m_handlers.m_on_deleted(event.m_item.m_key);
+      }
+    }
+    m_revision = std::max(m_revision, answer.m_store_revision);
+  }
+
+  void Fresh(std::int64_t sent_ms) {
+    if (m_handlers.m_on_fresh) {
+      m_handlers.m_on_fresh(sent_ms);
+    }
+  }
+
+  void RetryLater(std::function<void()> task) {
+    const std::int64_t wait_ms = m_retry_ms;
+    m_retry_ms = std::min(m_retry_ms * 2, kLastRetryMs);
+    m_loop.After(wait_ms, [alive = m_alive, task = std::move(task)] {
+      if (*alive) {
+        task();
+      }
+    });
+  }
+
+  // Drops answers that come after the feed is gone.
+  template <typename T, typename Handler>
+  StoreCallback<T> Guard(Handler handler) {
+    return [alive = m_alive, handler = std::move(handler)](Result<T> result) {
+      if (*alive) {
+        handler(std::move(result));
+      }
+    };
+  }
+
+  Store& m_store;
+  Loop& m_loop;
+  const std::string m_prefix;
+  const std::int64_t m_watch_wait_ms;
+  const Handlers m_handlers;
+  std::shared_ptr<bool> m_alive;
+  std::set<std::string> m_listed;
+  std::int64_t m_list_sent_ms = 0;
+  Revision m_list_revision = 0;
+  Revision m_revision = 0;
+  std::int64_t m_retry_ms = kFirstRetryMs;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/vm_holder.h
@@ -0,0 +1,132 @@
+// Keeps one hold call open at each VM of the cell: it renews leases, raises the
+// fence, and brings ends as soon as they happen.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "cell/cell_core.h"
+#include "cell/cell_platform.h"
+#include "cell/timer_loop.h"
+
+namespace mustardslip {
+
+template <VmControl Vms, TimerLoop Loop>
+class VmHolder {
+ public:
+  struct Handlers {
+    // The core heard something: effects may wait.
+    std::function<void()> m_on_event;
+    // A VM has seen a higher fence.
+    std::function<void()> m_on_superseded;
+  };
+
+  VmHolder(Vms& vms, Loop& loop, CellCore& core, std::int64_t fence,
+           Handlers handlers)
+      : m_vms(vms),
+        m_loop(loop),
+        m_core(core),
+        m_fence(fence),
+        m_handlers(std::move(handlers)),
+        m_alive(std::make_shared<bool>(true)) {}
+  ~VmHolder() { *m_alive = false; }
+
+  VmHolder(const VmHolder&) = delete;
+  VmHolder& operator=(const VmHolder&) = delete;
+
+  // Opens the calls that are due. `renew`: leases may be extended.
+  void OnTick(bool renew) {
+    const CellTime now = m_loop.Now();
+    for (auto& [life, vm] : m_core.State().Vms()) {
+      const bool needed = vm.m_listed || !vm.m_open.empty();
+      if (needed && !vm.m_description.m_address.empty()) {
+        HoldIfDue(vm, now, renew);
+      }
+    }
+    std::erase_if(m_calls, [&](const auto& entry) {
+      return !entry.second.m_open &&
+             m_core.State().FindVm(entry.first) == nullptr;
+    });
+  }
+
+ private:
+  // Looks are priced, and several ends in one answer cost less to write.
+  static constexpr std::int64_t kGapMs = 90;
+  // With ends that are not in the store yet, a call returns at once.
+  static constexpr std::int64_t kGapWithUnwrittenEndsMs = 900;
+  static constexpr std::int64_t kGapAfterFailureMs = 250;
+  static constexpr std::int64_t kWaitMs = 1'500;
+
+  struct Call {
+    bool m_open = false;
+    std::int64_t m_next_ms = 0;
+    std::int64_t m_sent_ms = 0;
+    std::uint64_t m_number = 0;
+  };
+
+  void HoldIfDue(VmState& vm, const CellTime& now, bool renew) {
+    Call& call = m_calls[vm.Life()];
+    const bool unwritten = vm.m_last_end != vm.m_durable_end;
+    if (call.m_open || now.m_steady_ms < call.m_next_ms ||
+        (unwritten &&
+         now.m_steady_ms < call.m_sent_ms + kGapWithUnwrittenEndsMs)) {
+      return;
+    }
+    HoldOrder order;
+    order.m_vm = vm.Life();
+    order.m_address = vm.m_description.m_address;
+    order.m_fence = m_fence;
+    order.m_last_end = vm.m_durable_end;
+    if (renew) {
+      order.m_lease_until_vm_ms = m_core.NextLease(vm, now);
+    }
+    order.m_wait_ms =
+        vm.m_fenced && order.m_lease_until_vm_ms.has_value() ? kWaitMs : 0;
+    call.m_open = true;
+    call.m_sent_ms = now.m_steady_ms;
+    const std::uint64_t number = ++call.m_number;
+    m_vms.Hold(order, [this, alive = m_alive, life = order.m_vm,
+                       number](Result<VmReport> report) {
+      if (*alive) {
+        OnAnswer(life, number, std::move(report));
+      }
+    });
+  }
+
+  void OnAnswer(const VmLife& life, std::uint64_t number,
+                Result<VmReport> report) {
+    Call& call = m_calls[life];
+    if (call.m_number != number) {
+      return;
+    }
+    call.m_open = false;
+    const CellTime now = m_loop.Now();
+    VmState* vm = m_core.State().FindVm(life);
+    if (report) {
+      // The next call comes at once if this one could not renew the lease.
+      const bool first = vm != nullptr && !vm->m_clock.Known();
+      call.m_next_ms = first ? 0 : call.m_sent_ms + kGapMs;
+      m_core.OnVmReport(*report, now);
+    } else if (report.error().Code() == ErrorCode::kStaleEpoch) {
+      m_handlers.m_on_superseded();
+      return;
+    } else {
+      call.m_next_ms = now.m_steady_ms + kGapAfterFailureMs;
+      m_core.OnVmSilent(life, now);
+    }
+    m_handlers.m_on_event();
+  }
+
+  Vms& m_vms;
+  Loop& m_loop;
+  CellCore& m_core;
+  const std::int64_t m_fence;
+  const Handlers m_handlers;
+  std::shared_ptr<bool> m_alive;
+  std::map<VmLife, Call> m_calls;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/vm_state.cc
@@ -0,0 +1,28 @@
+// Clock bounds and labels of a VM.
+#include "cell/vm_state.h"
+
+#include <algorithm>
+
+namespace mustardslip {
+
+void VmClock::OnAnswer(std::int64_t vm_ms, std::int64_t now_ms) {
+  // An answer that was overtaken says less than what is known.
+  if (m_known && vm_ms <= AtLeast(now_ms)) {
+    return;
+  }
+  m_known = true;
+  m_vm_ms = vm_ms;
+  m_at_ms = now_ms;
+}
+
+std::int64_t VmClock::AtLeast(std::int64_t now_ms) const {
+  constexpr std::int64_t kPercent = 100;
+  return m_vm_ms + (now_ms - m_at_ms) * kSlowestPercent / kPercent;
+}
+
+bool VmState::HasLabel(const std::string& label) const {
+  const std::vector<std::string>& labels = m_description.m_labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/transport/event_http.cc
@@ -0,0 +1,350 @@
+// evhttp behind the interface of event_http.h.
+#include "transport/event_http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/core.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <stdexcept>
+
+#include "common/logger.h"
+
+namespace mustardslip {
+namespace {
+
+// Idle connections kept for each peer. More calls at once open more
+// connections, which are closed when they are done.
+constexpr std::size_t kIdleConnectionsKept = 4;
+
+evhttp_cmd_type MethodOf(const std::string& method) {
+  if (method == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (method == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+std::string MethodName(evhttp_cmd_type method) {
+  switch (method) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    default:
+      return "OTHER";
+  }
+}
+
+std::string TakeBody(evbuffer* buffer) {
+  const std::size_t size = buffer == nullptr ? 0 : evbuffer_get_length(buffer);
+  std::string body(size, '\0');
+  if (size > 0) {
+    evbuffer_remove(buffer, body.data(), size);
+  }
+  return body;
+}
+
+timeval ToTimeval(Milliseconds duration) {
+  constexpr std::int64_t kMsPerSecond = 1'000;
+  constexpr std::int64_t kUsPerMs = 1'000;
+  return {static_cast<time_t>(duration.count() / kMsPerSecond),
+          static_cast<suseconds_t>(duration.count() % kMsPerSecond * kUsPerMs)};
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char character) {
+                   return static_cast<char>(std::tolower(character));
+                 });
+  return text;
+}
+
+}  // namespace
+
+// --- Client ---
+
+class EventHttpClient::Implementation {
+ public:
+  explicit Implementation(Reactor& reactor)
+      : m_reactor(reactor), m_alive(std::make_shared<bool>(true)) {}
+
+  ~Implementation() {
+    *m_alive = false;
+    for (evhttp_connection* connection : m_all) {
+      evhttp_connection_free(connection);
+    }
+  }
+
+  void Call(const Endpoint& peer, HttpCall call, Done done) {
+    evhttp_connection* connection = Take(peer);
+    auto exchange = std::make_unique<Exchange>();
+    exchange->m_client = this;
+    exchange->m_peer = peer;
+    exchange->m_connection = connection;
+    exchange->m_done = std::move(done);
+    evhttp_request* request =
+        evhttp_request_new(&Implementation::OnDone, exchange.get());
+    evhttp_request_set_error_cb(request, &Implementation::OnError);
+    Fill(request, peer, call);
+    const timeval limit = ToTimeval(call.m_timeout);
+    evhttp_connection_set_timeout_tv(connection, &limit);
+    Exchange* raw = exchange.release();
+    if (evhttp_make_request(connection, request, MethodOf(call.m_method),
+                            call.m_target.c_str()) != 0) {
+      // evhttp freed the request without a callback.
+      Finish(raw, Fail(ErrorCode::kUnavailable, "connection_failed"), false);
+      return;
+    }
+  }
+
+  void Forget(const Endpoint& peer) {
+    const auto idle = m_idle.find(peer);
+    if (idle == m_idle.end()) {
+      return;
+    }
+    for (evhttp_connection* connection : idle->second) {
+      m_all.erase(connection);
+      evhttp_connection_free(connection);
+    }
+    m_idle.erase(idle);
+  }
+
+  std::uint64_t Opened() const { return m_opened; }
+
+ private:
+  struct Exchange {
+    Implementation* m_client = nullptr;
+    Endpoint m_peer;
+    evhttp_connection* m_connection = nullptr;
+    Done m_done;
+    bool m_finished = false;
+  };
+
+  static void Fill(evhttp_request* request, const Endpoint& peer,
+                   const HttpCall& call) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    bool has_host = false;
+    for (const auto& [name, value] : call.m_headers) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+      has_host = has_host || name == "host";
+    }
+    if (!has_host) {
+      evhttp_add_header(headers, "Host",
+                        fmt::format("{}:{}", peer.m_host, peer.m_port).c_str());
+    }
+    if (!call.m_body.empty()) {
+      evhttp_add_header(headers, "Content-Type", "application/json");
+      evbuffer_add(evhttp_request_get_output_buffer(request),
+                   call.m_body.data(), call.m_body.size());
+    }
+  }
+
+  evhttp_connection* Take(const Endpoint& peer) {
+    std::vector<evhttp_connection*>& idle = m_idle[peer];
+    if (!idle.empty()) {
+      evhttp_connection* connection = idle.back();
+      idle.pop_back();
+      return connection;
+    }
+    evhttp_connection* connection = evhttp_connection_base_new(
+        m_reactor.Base(), nullptr, peer.m_host.c_str(), peer.m_port);
+    Invariant(connection != nullptr, "evhttp gave no connection");
+    m_all.insert(connection);
+    ++m_opened;
+    return connection;
+  }
+
+  static void OnError(evhttp_request_error, void*) {
+    // OnDone follows, with no request.
+  }
+
+  static void OnDone(evhttp_request* request, void* context) {
+    auto* exchange = static_cast<Exchange*>(context);
+    Implementation* client = exchange->m_client;
+    if (request == nullptr) {
+      client->Finish(exchange, Fail(ErrorCode::kUnknownOutcome, "no_answer"),
+                     false);
+      return;
+    }
+    const int status = evhttp_request_get_response_code(request);
+    if (status == 0) {
+      client->Finish(exchange,
+                     Fail(ErrorCode::kUnavailable, "connection_failed"), false);
+      return;
+    }
+    HttpResponse answer;
+    answer.m_status = status;
+    answer.m_body = TakeBody(evhttp_request_get_input_buffer(request));
+    const char* connection = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Connection");
+    const bool keep = connection == nullptr || LowerCase(connection) != "close";
+    client->Finish(exchange, std::move(answer), keep);
+  }
+
+  // The connection is inside its callback: it is put back or freed later.
+  void Finish(Exchange* raw, Result<HttpResponse> result, bool keep) {
+    auto exchange = std::shared_ptr<Exchange>(raw);
+    m_reactor.After(0, [this, alive = m_alive, exchange, keep,
+                        result = std::move(result)]() mutable {
+      if (!*alive) {
+        return;
+      }
+      Release(exchange->m_peer, exchange->m_connection, keep);
+      exchange->m_done(std::move(result));
+    });
+  }
+
+  void Release(const Endpoint& peer, evhttp_connection* connection, bool keep) {
+    std::vector<evhttp_connection*>& idle = m_idle[peer];
+    if (keep && idle.size() < kIdleConnectionsKept) {
+      idle.push_back(connection);
+      return;
+    }
+    m_all.erase(connection);
+    evhttp_connection_free(connection);
+  }
+
+  Reactor& m_reactor;
+  std::shared_ptr<bool> m_alive;
+  std::map<Endpoint, std::vector<evhttp_connection*>> m_idle;
+  std::set<evhttp_connection*> m_all;
+  std::uint64_t m_opened = 0;
+};
+
+EventHttpClient::EventHttpClient(Reactor& reactor)
+    : m_implementation(std::make_unique<Implementation>(reactor)) {}
+EventHttpClient::~EventHttpClient() = default;
+
+void EventHttpClient::Call(const Endpoint& peer, HttpCall call, Done done) {
+  m_implementation->Call(peer, std::move(call), std::move(done));
+}
+
+void EventHttpClient::Forget(const Endpoint& peer) {
+  m_implementation->Forget(peer);
+}
+
+std::uint64_t EventHttpClient::Opened() const {
+  return m_implementation->Opened();
+}
+
+// --- Server ---
+
+class EventHttpServer::Implementation {
+ public:
+  Implementation(Reactor& reactor, const Endpoint& endpoint,
+                 EventHttpLimits limits, Handler handler)
+      : m_reactor(reactor),
+        m_handler(std::move(handler)),
+        m_alive(std::make_shared<bool>(true)) {
+    m_server = evhttp_new(reactor.Base());
+    Invariant(m_server != nullptr, "evhttp gave no server");
+    evhttp_set_max_headers_size(m_server,
+                                static_cast<ev_ssize_t>(limits.m_header_bytes));
+    evhttp_set_max_body_size(m_server,
+                             static_cast<ev_ssize_t>(limits.m_body_bytes));
+    const timeval idle = ToTimeval(Milliseconds(limits.m_idle_timeout_ms));
+    evhttp_set_timeout_tv(m_server, &idle);
+    evhttp_set_allowed_methods(m_server, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                             EVHTTP_REQ_DELETE |
+                                             EVHTTP_REQ_PUT);
+    evhttp_set_gencb(m_server, &Implementation::OnRequest, this);
+    if (evhttp_bind_socket(m_server, endpoint.m_host.c_str(),
+                           endpoint.m_port) != 0) {
+      evhttp_free(m_server);
+      throw std::runtime_error(fmt::format("cannot listen on {}:{}",
+                                           endpoint.m_host, endpoint.m_port));
+    }
+  }
+
+  ~Implementation() {
+    *m_alive = false;
+    evhttp_free(m_server);
+  }
+
+  void CloseAfterAnswers() { m_closing = true; }
+  std::size_t InFlight() const { return m_in_flight; }
+
+ private:
+  static void OnRequest(evhttp_request* request, void* context) {
+    static_cast<Implementation*>(context)->Handle(request);
+  }
+
+  void Handle(evhttp_request* raw) {
+    HttpRequest request;
+    request.m_method = MethodName(evhttp_request_get_command(raw));
+    const char* target = evhttp_request_get_uri(raw);
+    // The path stays percent-encoded, and the query is not used.
+    request.m_path = target == nullptr ? "" : target;
+    request.m_path.erase(
+        std::min(request.m_path.find('?'), request.m_path.size()));
+    evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+    for (const evkeyval* one = headers->tqh_first; one != nullptr;
+         one = one->next.tqe_next) {
+      request.m_headers[LowerCase(one->key)] = one->value;
+    }
+    request.m_body = TakeBody(evhttp_request_get_input_buffer(raw));
+    ++m_in_flight;
+    m_handler(std::move(request),
+              [this, raw, alive = m_alive](HttpResponse reply) {
+                if (*alive) {
+                  --m_in_flight;
+                  Send(raw, reply);
+                }
+              });
+  }
+
+  void Send(evhttp_request* raw, const HttpResponse& reply) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+    if (!reply.m_body.empty() && reply.m_headers.count("content-type") == 0) {
+      evhttp_add_header(headers, "Content-Type", "application/json");
+    }
+    for (const auto& [name, value] : reply.m_headers) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    if (m_closing) {
+      evhttp_add_header(headers, "Connection", "close");
+    }
+    evbuffer* body = evbuffer_new();
+    evbuffer_add(body, reply.m_body.data(), reply.m_body.size());
+    // Frees the request, also if its connection is gone.
+    evhttp_send_reply(raw, reply.m_status, nullptr, body);
+    evbuffer_free(body);
+  }
+
+  Reactor& m_reactor;
+  Handler m_handler;
+  std::shared_ptr<bool> m_alive;
+  evhttp* m_server = nullptr;
+  bool m_closing = false;
+  std::size_t m_in_flight = 0;
+};
+
+EventHttpServer::EventHttpServer(Reactor& reactor, const Endpoint& endpoint,
+                                 EventHttpLimits limits, Handler handler)
+    : m_implementation(std::make_unique<Implementation>(
+          reactor, endpoint, limits, std::move(handler))) {}
+EventHttpServer::~EventHttpServer() = default;
+
+void EventHttpServer::CloseAfterAnswers() {
+  m_implementation->CloseAfterAnswers();
+}
+
+std::size_t EventHttpServer::InFlight() const {
+  return m_implementation->InFlight();
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/transport/message_link.cc
@@ -0,0 +1,183 @@
+// bufferevents behind the interface of message_link.h.
+#include "transport/message_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <fmt/core.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <stdexcept>
+
+#include "transport/rpc.h"
+
+namespace mustardslip {
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+
+sockaddr_in ToAddress(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.m_port);
+  inet_pton(AF_INET, endpoint.m_host.c_str(), &address.sin_addr);
+  return address;
+}
+
+void SendAtOnce(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+MessageLink::MessageLink(Reactor& reactor, const Endpoint& peer,
+                         Handlers handlers)
+    : m_reactor(reactor),
+      m_handlers(std::move(handlers)),
+      m_alive(std::make_shared<bool>(true)) {
+  m_stream = bufferevent_socket_new(reactor.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  Install();
+  const sockaddr_in address = ToAddress(peer);
+  if (bufferevent_socket_connect(m_stream,
+                                 reinterpret_cast<const sockaddr*>(&address),
+                                 sizeof(address)) != 0) {
+    // Reported later, as the owner of the link is still being built.
+    m_reactor.After(0, [this, alive = m_alive] {
+      if (*alive) {
+        Close(false);
+      }
+    });
+  }
+}
+
+MessageLink::MessageLink(Reactor& reactor, int socket, Handlers handlers)
+    : m_reactor(reactor),
+      m_handlers(std::move(handlers)),
+      m_alive(std::make_shared<bool>(true)) {
+  m_stream =
+      bufferevent_socket_new(reactor.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
+  SendAtOnce(socket);
+  Install();
+}
+
+MessageLink::~MessageLink() {
+  *m_alive = false;
+  if (m_stream != nullptr) {
+    bufferevent_free(m_stream);
+  }
+}
+
+void MessageLink::Install() {
+  Invariant(m_stream != nullptr, "libevent gave no bufferevent");
+  bufferevent_setcb(m_stream, &MessageLink::OnRead, nullptr,
+                    &MessageLink::OnEvent, this);
+  bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+}
+
+void MessageLink::Send(const RpcMessage& message) {
+  if (m_stream == nullptr) {
+    return;
+  }
+  const std::string bytes = EncodeMessage(message);
+  const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size()));
+  evbuffer* out = bufferevent_get_output(m_stream);
+  evbuffer_add(out, &length, kLengthBytes);
+  evbuffer_add(out, bytes.data(), bytes.size());
+}
+
+std::size_t MessageLink::Backlog() const {
+  return m_stream == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_output(m_stream));
+}
+
+void MessageLink::OnRead(bufferevent*, void* context) {
+  static_cast<MessageLink*>(context)->ReadMessages();
+}
+
+void MessageLink::ReadMessages() {
+  const std::shared_ptr<bool> alive = m_alive;
+  while (*alive && m_stream != nullptr) {
+    evbuffer* in = bufferevent_get_input(m_stream);
+    std::uint32_t length = 0;
+    if (evbuffer_copyout(in, &length, kLengthBytes) !=
+        static_cast<ev_ssize_t>(kLengthBytes)) {
+      return;
+    }
+    length = ntohl(length);
+    if (length > kMaxRpcMessageBytes) {
+      Close(false);
+      return;
+    }
+    if (evbuffer_get_length(in) < kLengthBytes + length) {
+      return;
+    }
+    evbuffer_drain(in, kLengthBytes);
+    std::string bytes(length, '\0');
+    evbuffer_remove(in, bytes.data(), length);
+    auto message = DecodeMessage(bytes);
+    if (!message) {
+      Close(false);
+      return;
+    }
+    m_handlers.m_on_message(std::move(*message));
+  }
+}
+
+void MessageLink::OnEvent(bufferevent*, short events,  // NOLINT
+                          void* context) {
+  auto* link = static_cast<MessageLink*>(context);
+  if ((events & BEV_EVENT_CONNECTED) != 0) {
+    SendAtOnce(bufferevent_getfd(link->m_stream));
+    if (link->m_handlers.m_on_connected) {
+      link->m_handlers.m_on_connected();
+    }
+    return;
+  }
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+    const bool refused = (events & BEV_EVENT_ERROR) != 0 &&
+                         EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    link->Close(refused);
+  }
+}
+
+void MessageLink::Close(bool refused) {
+  if (m_stream == nullptr) {
+    return;
+  }
+  bufferevent* stream = m_stream;
+  m_stream = nullptr;
+  bufferevent_free(stream);
+  // The handler may delete this link.
+  const auto on_closed = m_handlers.m_on_closed;
+  on_closed(refused);
+}
+
+MessageListener::MessageListener(Reactor& reactor, const Endpoint& endpoint,
+                                 Accept accept)
+    : m_accept(std::move(accept)) {
+  constexpr int kBacklog = 512;
+  const sockaddr_in address = ToAddress(endpoint);
+  m_listener = evconnlistener_new_bind(
+      reactor.Base(),
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int,
+         void* context) {
+        static_cast<MessageListener*>(context)->m_accept(socket);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
+      reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (m_listener == nullptr) {
+    throw std::runtime_error(fmt::format("cannot listen on {}:{}",
+                                         endpoint.m_host, endpoint.m_port));
+  }
+}
+
+MessageListener::~MessageListener() { evconnlistener_free(m_listener); }
+
+}  // namespace mustardslip
