Judge a VM by distinct failing jobs, and avoid at most a quarter of a pool

Cause: a VM was avoided after three failed runs in a row, whichever job they were of.

Ruled out: lost calls for advice (they are given up after 1.2 s), quotas (the team had nothing running).

Change: failures count once a job, not at all for a job that failed on three VMs, and at most a quarter of a pool is left out. The tests FailingJobsDoNotEmptyTheFleet (failed before) and VmThatFailsEverythingIsAvoided play both sides.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -277,13 +277,13 @@
 
 void CellCore::AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
                         const VmLife& vm, const CellTime& now) {
-  if (VmState* state = m_state.FindVm(vm)) {
-    CountVmHealth(*state, end, now);
-  }
   Job* job = m_state.FindJob(task.m_job);
   if (job == nullptr) {
     return;
   }
+  if (VmState* state = m_state.FindVm(vm)) {
+    CountVmHealth(*state, *job, end, now);
+  }
   if (TaskState* state = m_state.FindTask(task)) {
     state->m_idle_since_ms = now.m_steady_ms;
   }
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -134,7 +134,8 @@
                 const CellTime& now);
   void AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
                 const VmLife& vm, const CellTime& now);
-  void CountVmHealth(VmState& vm, RunEnd end, const CellTime& now);
+  static void CountVmHealth(VmState& vm, Job& job, RunEnd end,
+                            const CellTime& now);
   void StopRuns(Job& job, const CellTime& now);
   void StopGangRun(const TaskRef& task, std::uint32_t run, const CellTime& now);
   void SendStop(const TaskRef& task, OpenRun& run, const CellTime& now);
--- /dev/null
+++ b/Source/Core/cell/cell_core_test.cc
@@ -0,0 +1,327 @@
+// Promises of the cell's core under faults: each test names the failure that it
+// guards against.
+#include "cell/cell_core.h"
+
+#include <gtest/gtest.h>
+
+#include "cell/cell_harness.h"
+
+namespace mustardslip {
+namespace {
+
+constexpr Resources kVmRoom{64'000, 128'000, 0};
+
+class CellCoreTest : public testing::Test {
+ protected:
+  void AddVms(int count) {
+    for (int i = 0; i < count; ++i) {
+      m_cell.AddVm("vm-" + std::to_string(i), kVmRoom);
+    }
+    m_cell.Run(100);
+  }
+
+  JobPhase PhaseOf(int number) { return m_cell.Lookup(number).m_phase; }
+
+  CellHarness m_cell;
+};
+
+// Fails if a job is acknowledged before the store has it.
+TEST_F(CellCoreTest, AcceptsOnlyWhatTheStoreHas) {
+  AddVms(1);
+  m_cell.m_store_up = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  EXPECT_FALSE(m_cell.LastAnswer().has_value());
+  m_cell.m_store_up = true;
+  m_cell.Pump();
+  ASSERT_TRUE(m_cell.LastAnswer().has_value());
+  EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kAccepted);
+}
+
+// Fails if a start leaves before the store knows of it: a new owner would not
+// know that the task may run.
+TEST_F(CellCoreTest, SendsNoStartThatIsNotInTheLog) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
+  m_cell.m_store_up = false;
+  m_cell.Pump();
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+}
+
+// Fails if a repeated submission becomes a second job.
+TEST_F(CellCoreTest, RepeatedSubmissionIsOneJob) {
+  AddVms(1);
+  for (int i = 0; i < 3; ++i) {
+    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+    m_cell.Pump();
+    EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kAccepted);
+  }
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+}
+
+// Fails if an end counts before the store has it: after a takeover the VM would
+// have forgotten it, and the task would run again.
+TEST_F(CellCoreTest, VmForgetsNoEndThatIsNotInTheStore) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.m_store_up = false;
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.Vm("vm-0").m_ended.size(), 1U);
+  EXPECT_NE(PhaseOf(1), JobPhase::kComplete);
+  m_cell.TakeOver();
+  m_cell.m_store_up = true;
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+}
+
+// Fails if a step starts before the steps that it depends on are done.
+TEST_F(CellCoreTest, StepsWaitForTheirDependencies) {
+  AddVms(1);
+  StepSpec second = CellHarness::Step(2, 1'000);
+  second.m_after = {0};
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000), second}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.size(), 3U);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+}
+
+// Fails if a VM is given more than it holds, also while a run is being stopped.
+TEST_F(CellCoreTest, VmIsNeverOverfilled) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(5, 20'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.m_starts.size(), 3U);
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.Cancel(1);
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 20'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(2), 0U);
+}
+
+// Fails if a team's limit counts only what was started, not what may run.
+TEST_F(CellCoreTest, TeamStaysBelowItsLimit) {
+  CellRules rules;
+  rules.m_version = 1;
+  rules.m_teams["team"].m_cap = {40'000, 0, 0};
+  m_cell.Core().OnRules(rules);
+  AddVms(4);
+  m_cell.Submit(
+      m_cell.Job(1, {CellHarness::Step(9, 10'000)}, m_cell.Queue(), "team"));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(1), 4U);
+}
+
+// Fails if a task is started elsewhere while the VM that was told to start it
+// has neither answered nor lost its lease.
+TEST_F(CellCoreTest, UnansweredStartIsNotRepeatedBeforeTheLeaseLapsed) {
+  AddVms(1);
+  m_cell.Vm("vm-0").m_answers_starts = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.AddVm("vm-1", kVmRoom);
+  m_cell.Run(kVmLeaseMs - 500);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(2'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a new owner forgets what an earlier one may have started on a VM
+// that it cannot reach.
+TEST_F(CellCoreTest, NewOwnerWaitsForUnreachableVms) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.AddVm("vm-1", kVmRoom);
+  m_cell.TakeOver();
+  m_cell.Run(kHoldWithoutStoreMs);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(kVmLeaseMs + 1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if the runs of a VM that came back with a new life are waited for.
+TEST_F(CellCoreTest, NewLifeOfVmEndsTheRunsOfTheOldOne) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  m_cell.AddVm("vm-0", kVmRoom, {}, 2);
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+  EXPECT_EQ(m_cell.m_starts.back().m_run, 2U);
+}
+
+// Fails if a task is tried more often than the queue allows.
+TEST_F(CellCoreTest, JobFailsAfterItsAttempts) {
+  AddVms(4);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  for (int i = 0; i < 5; ++i) {
+    m_cell.Run(200);
+    m_cell.End(1, RunEnd::kFailed);
+  }
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.size(), 3U);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+}
+
+// Fails if a member of a gang runs on, or the gang starts again, while others
+// of the broken run may still be there.
+TEST_F(CellCoreTest, GangStartsAgainOnlyWhenAllMembersAreGone) {
+  AddVms(4);
+  StepSpec step = CellHarness::Step(4, 40'000);
+  step.m_gang = true;
+  m_cell.Submit(m_cell.Job(1, {step}));
+  m_cell.Run(200);
+  ASSERT_EQ(m_cell.m_starts.size(), 4U);
+  SimulatedVm& cut = m_cell.Vm("vm-3");
+  cut.m_reachable = false;
+  SimulatedVm& first = m_cell.Vm("vm-0");
+  CellHarness::EndRun(first, first.m_running.front(), RunEnd::kFailed);
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 4U);
+  EXPECT_EQ(m_cell.Vm("vm-1").m_running.size(), 0U);
+  cut.m_reachable = true;
+  m_cell.Run(1'500);
+  EXPECT_EQ(m_cell.m_starts.size(), 8U);
+  EXPECT_EQ(m_cell.m_starts.back().m_run, 2U);
+}
+
+// Fails if a task of a cancelled job starts after the cancel was acknowledged.
+TEST_F(CellCoreTest, NoStartAfterCancel) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(9, 20'000)}));
+  m_cell.Run(200);
+  const std::size_t started = m_cell.m_starts.size();
+  m_cell.Cancel(1);
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kPhase);
+  EXPECT_EQ(m_cell.RunningOf(1), 0U);
+  EXPECT_EQ(m_cell.m_starts.size(), started);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kCancelled);
+}
+
+// Fails if an occurrence starts before its time, or is left out.
+TEST_F(CellCoreTest, OccurrencesStartAtTheirTimes) {
+  AddVms(1);
+  WorkflowSpec spec = m_cell.Job(1, {CellHarness::Step(1, 1'000)});
+  spec.m_schedule = {m_cell.Now().m_unix_ms + 1'000, 500, 2};
+  m_cell.Submit(spec);
+  m_cell.Run(900);
+  EXPECT_EQ(m_cell.m_starts.size(), 0U);
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+}
+
+// Fails if a start carries a ticket of another VM, or goes to a VM that the
+// advice service does not allow.
+TEST_F(CellCoreTest, StartsOnlyOnAdvisedVms) {
+  AddVms(8);
+  QueueRules queue = m_cell.Queue();
+  queue.m_needs_advice = true;
+  queue.m_advice_base_ms = 10;
+  m_cell.m_advice = [](const std::string& vm) { return vm == "vm-5"; };
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, 1'000)}, queue));
+  m_cell.Run(1'000);
+  ASSERT_EQ(m_cell.m_starts.size(), 2U);
+  for (const StartRun& start : m_cell.m_starts) {
+    EXPECT_EQ(start.m_vm.m_id, "vm-5");
+    EXPECT_EQ(start.m_ticket, "ticket-vm-5");
+  }
+}
+
+// Fails if jobs that fail by their own fault take healthy VMs out of service.
+TEST_F(CellCoreTest, FailingJobsDoNotEmptyTheFleet) {
+  AddVms(2);
+  for (int job = 1; job <= 3; ++job) {
+    m_cell.Submit(m_cell.Job(job, {CellHarness::Step(6, 1'000)}));
+  }
+  for (int i = 0; i < 4; ++i) {
+    m_cell.Run(200);
+    for (int job = 1; job <= 3; ++job) {
+      m_cell.End(job, RunEnd::kFailed);
+    }
+  }
+  m_cell.Run(200);
+  m_cell.Submit(m_cell.Job(9, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(9), 1U);
+}
+
+// Fails if a VM that fails whatever it is given goes on taking work while
+// others have room.
+TEST_F(CellCoreTest, VmThatFailsEverythingIsAvoided) {
+  AddVms(8);
+  int failed_there = 0;
+  for (int job = 1; job <= 30; ++job) {
+    m_cell.Submit(m_cell.Job(job, {CellHarness::Step(1, 30'000)}));
+    m_cell.Run(100);
+    SimulatedVm& bad = m_cell.Vm("vm-0");
+    while (!bad.m_running.empty()) {
+      CellHarness::EndRun(bad, bad.m_running.front(), RunEnd::kFailed);
+      ++failed_there;
+    }
+    m_cell.Run(50);
+    for (int other = 1; other < 8; ++other) {
+      SimulatedVm& good = m_cell.Vm("vm-" + std::to_string(other));
+      while (!good.m_running.empty()) {
+        CellHarness::EndRun(good, good.m_running.front(), RunEnd::kDone);
+      }
+    }
+  }
+  EXPECT_LE(failed_there, 6);
+}
+
+// Fails if a snapshot loses or invents work: a new owner that begins with the
+// snapshot must end like one that read the whole log.
+TEST_F(CellCoreTest, SnapshotStandsForTheLog) {
+  AddVms(3);
+  StepSpec second = CellHarness::Step(2, 1'000);
+  second.m_after = {0};
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, 1'000), second}));
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
+  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(1, 1'000)}));
+  m_cell.Submit(m_cell.Job(4, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(200);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.End(2, RunEnd::kFailed);
+  m_cell.End(3, RunEnd::kDone);
+  m_cell.Cancel(4);
+  m_cell.Run(200);
+  const std::vector<LogRecord> snapshot = m_cell.Core().State().Snapshot();
+  const auto decoded = DecodeRecords(EncodeRecords(snapshot));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(*decoded, snapshot);
+  m_cell.m_log = *decoded;
+  const std::size_t started = m_cell.m_starts.size();
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.size(), started);
+  EXPECT_EQ(PhaseOf(3), JobPhase::kComplete);
+  EXPECT_EQ(PhaseOf(4), JobPhase::kCancelled);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.End(2, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+  EXPECT_EQ(PhaseOf(2), JobPhase::kComplete);
+}
+
+}  // namespace
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -7,11 +7,13 @@
 namespace mustardslip {
 namespace {
 
-// A VM that failed this many runs in a row is left alone for a while, which
-// doubles with each further failure.
-constexpr std::uint32_t kFailuresBeforeAvoid = 3;
-constexpr std::int64_t kAvoidMs = 1'500;
-constexpr std::uint32_t kMostDoublings = 4;
+// A VM on which runs of this many jobs failed without a success between is left
+// alone for a while, which doubles with each further job.
+constexpr std::size_t kFailedJobsBeforeAvoid = 2;
+constexpr std::int64_t kAvoidMs = 1'000;
+constexpr std::size_t kMostDoublings = 2;
+// A job that failed on this many VMs fails by its own fault.
+constexpr std::size_t kVmsBeforeJobIsAtFault = 3;
 constexpr std::int64_t kAvoidUnhealthyMs = 400;
 // Between the end of a lease as computed and the end of what it held.
 constexpr std::int64_t kLapseSlackMs = 300;
@@ -229,17 +231,25 @@
            now);
 }
 
-void CellCore::CountVmHealth(VmState& vm, RunEnd end, const CellTime& now) {
+void CellCore::CountVmHealth(VmState& vm, Job& job, RunEnd end,
+                             const CellTime& now) {
   if (end == RunEnd::kDone) {
-    vm.m_failures_in_row = 0;
+    vm.m_failed_jobs.clear();
     vm.m_avoid_until_ms = 0;
-  } else if (end == RunEnd::kFailed) {
-    ++vm.m_failures_in_row;
-    if (vm.m_failures_in_row >= kFailuresBeforeAvoid) {
-      const std::uint32_t doublings =
-          std::min(vm.m_failures_in_row - kFailuresBeforeAvoid, kMostDoublings);
-      vm.m_avoid_until_ms = now.m_steady_ms + (kAvoidMs << doublings);
-    }
+    return;
+  }
+  if (end != RunEnd::kFailed) {
+    return;
+  }
+  job.m_failed_on.insert(vm.Life().m_id);
+  if (job.m_failed_on.size() >= kVmsBeforeJobIsAtFault) {
+    return;
+  }
+  vm.m_failed_jobs.insert(job.m_spec.m_id);
+  if (vm.m_failed_jobs.size() >= kFailedJobsBeforeAvoid) {
+    const std::size_t doublings = std::min(
+        vm.m_failed_jobs.size() - kFailedJobsBeforeAvoid, kMostDoublings);
+    vm.m_avoid_until_ms = now.m_steady_ms + (kAvoidMs << doublings);
   }
 }
 
--- /dev/null
+++ b/Source/Core/cell/cell_harness.h
@@ -0,0 +1,308 @@
+// Drives a CellCore in tests without I/O: a log that is durable at once or on
+// request, VMs that follow orders, and an advice service.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/cell_core.h"
+
+namespace mustardslip {
+
+// A VM that runs what it is told to run, and checks what a real one checks.
+struct SimulatedVm {
+  struct Running {
+    TaskRef m_task;
+    std::uint32_t m_run = 0;
+    bool operator==(const Running&) const = default;
+  };
+
+  VmDescription m_description;
+  std::int64_t m_clock_offset_ms = 0;
+  std::vector<Running> m_running;
+  std::vector<ListedEnd> m_ended;
+  std::uint64_t m_last_end = 0;
+  bool m_reachable = true;
+  // Starts are taken, but not answered.
+  bool m_answers_starts = true;
+};
+
+class CellHarness {
+ public:
+  static constexpr const char* kService = "svc";
+
+  CellHarness() : m_core(std::make_unique<CellCore>(CellBounds{})) {
+    m_core->OnRecovered(Now());
+  }
+
+  CellTime Now() const { return {m_now_ms, kUnixStartMs + m_now_ms}; }
+  CellCore& Core() { return *m_core; }
+
+  // --- Set-up ---
+
+  QueueRules Queue(const std::string& name = "queue") const {
+    QueueRules queue;
+    queue.m_name = name;
+    queue.m_service = kService;
+    queue.m_max_attempts = 3;
+    queue.m_stretch = 2;
+    queue.m_target_latency_ms = 1'000;
+    return queue;
+  }
+
+  SimulatedVm& AddVm(const std::string& id, Resources capacity,
+                     std::vector<std::string> labels = {},
+                     std::int64_t born = 1) {
+    SimulatedVm& vm = m_vms[id];
+    vm = {};
+    vm.m_description.m_life = {id, born};
+    vm.m_description.m_service = kService;
+    vm.m_description.m_address = "127.0.0.1:1";
+    vm.m_description.m_capacity = capacity;
+    vm.m_description.m_labels = std::move(labels);
+    m_core->OnVmListed(vm.m_description, Now());
+    return vm;
+  }
+
+  SimulatedVm& Vm(const std::string& id) { return m_vms.at(id); }
+
+  static StepSpec Step(std::uint32_t count, std::int64_t cpu) {
+    StepSpec step;
+    step.m_count = count;
+    step.m_resources = {cpu, 0, 0};
+    step.m_estimate_ms = 1'000;
+    return step;
+  }
+
+  WorkflowSpec Job(int number, std::vector<StepSpec> steps,
+                   const QueueRules& queue, const std::string& team = "") {
+    WorkflowSpec spec;
+    spec.m_id = Id(number);
+    spec.m_queue = queue;
+    spec.m_team = team;
+    spec.m_payload = "payload";
+    spec.m_steps = std::move(steps);
+    return spec;
+  }
+  WorkflowSpec Job(int number, std::vector<StepSpec> steps) {
+    return Job(number, std::move(steps), Queue());
+  }
+
+  static std::string Id(int number) {
+    std::string id = std::to_string(number);
+    return std::string(kWorkflowIdDigits - id.size(), '0') + id;
+  }
+
+  // --- Callers ---
+
+  void Submit(WorkflowSpec spec) {
+    m_core->Submit(++m_token, std::move(spec), Now());
+  }
+  // The answer to the newest call of a caller, if it came.
+  std::optional<CellAnswer> LastAnswer() const {
+    const auto found = m_answers.find(m_token);
+    return found == m_answers.end() ? std::nullopt
+                                    : std::optional(found->second);
+  }
+  CellAnswer Lookup(int number) {
+    m_core->Lookup(++m_token, "queue", Id(number));
+    CarryOut();
+    return m_answers.at(m_token);
+  }
+  void Cancel(int number) {
+    m_core->Cancel(++m_token, "queue", Id(number), Now());
+  }
+
+  // --- Time ---
+
+  // Lets everything happen that is due, for this long in small steps.
+  void Run(std::int64_t ms) {
+    constexpr std::int64_t kStepMs = 50;
+    for (std::int64_t passed = 0; passed < ms; passed += kStepMs) {
+      m_now_ms += kStepMs;
+      m_core->OnTick(Now());
+      Look();
+      Pump();
+    }
+  }
+
+  // Each reachable VM is held once.
+  void Look() {
+    for (auto& [id, vm] : m_vms) {
+      Look(vm);
+    }
+  }
+
+  void Look(SimulatedVm& vm) {
+    VmState* state = m_core->State().FindVm(vm.m_description.m_life);
+    if (state == nullptr) {
+      return;
+    }
+    if (!vm.m_reachable) {
+      m_core->OnVmSilent(vm.m_description.m_life, Now());
+      return;
+    }
+    m_core->NextLease(*state, Now());
+    std::erase_if(vm.m_ended, [&](const ListedEnd& end) {
+      return end.m_sequence <= state->m_durable_end;
+    });
+    m_core->OnVmReport(Report(vm), Now());
+  }
+
+  VmReport Report(const SimulatedVm& vm) const {
+    VmReport report;
+    report.m_vm = vm.m_description.m_life;
+    report.m_vm_ms = m_now_ms + vm.m_clock_offset_ms;
+    for (const SimulatedVm::Running& running : vm.m_running) {
+      report.m_running.push_back({running.m_task, running.m_run, "", 0});
+    }
+    report.m_ended = vm.m_ended;
+    return report;
+  }
+
+  // Plans, makes what is planned durable unless the store is down, and carries
+  // effects out.
+  void Pump() {
+    for (int round = 0; round < 4; ++round) {
+      m_core->Schedule(Now(), kFreeAsks);
+      CarryOut();
+      if (!m_store_up || m_core->HasBatchInFlight()) {
+        return;
+      }
+      if (m_core->HasOpenBatch()) {
+        Write();
+        m_core->OnDurable(Now());
+      }
+      CarryOut();
+    }
+  }
+
+  // The store has the batch; its answer is still to come (see Pump).
+  void Write() {
+    const std::vector<LogRecord>& records = m_core->BeginBatch();
+    m_log.insert(m_log.end(), records.begin(), records.end());
+  }
+
+  // Another owner takes over with what the store has.
+  void TakeOver() {
+    m_core = std::make_unique<CellCore>(CellBounds{});
+    for (const LogRecord& record : m_log) {
+      m_core->Replay(record);
+    }
+    m_core->OnRecovered(Now());
+    for (auto& [id, vm] : m_vms) {
+      m_core->OnVmListed(vm.m_description, Now());
+    }
+  }
+
+  // --- VMs ---
+
+  // All runs of the job end like this on their VMs.
+  void End(int number, RunEnd how, const std::string& checkpoint = "") {
+    for (auto& [id, vm] : m_vms) {
+      const std::vector<SimulatedVm::Running> running = vm.m_running;
+      for (const SimulatedVm::Running& run : running) {
+        if (run.m_task.m_job == Id(number)) {
+          EndRun(vm, run, how, checkpoint);
+        }
+      }
+    }
+  }
+
+  static void EndRun(SimulatedVm& vm, SimulatedVm::Running run,
+                     RunEnd how, const std::string& checkpoint = "") {
+    std::erase(vm.m_running, run);
+    vm.m_ended.push_back(
+        {++vm.m_last_end, run.m_task, run.m_run, how, checkpoint});
+  }
+
+  std::size_t RunningOf(int number) const {
+    std::size_t count = 0;
+    for (const auto& [id, vm] : m_vms) {
+      count += static_cast<std::size_t>(std::count_if(
+          vm.m_running.begin(), vm.m_running.end(),
+          [&](const auto& run) { return run.m_task.m_job == Id(number); }));
+    }
+    return count;
+  }
+
+  // All starts in order, as they reached the VMs.
+  std::vector<StartRun> m_starts;
+  std::vector<StopRun> m_stops;
+  std::vector<AskAdvice> m_asked;
+  bool m_store_up = true;
+  // Which VMs the advice service allows.
+  std::function<bool(const std::string&)> m_advice = [](const std::string&) {
+    return true;
+  };
+  std::int64_t m_ticket_validity_ms = 2'000;
+  std::vector<LogRecord> m_log;
+
+ private:
+  static constexpr std::int64_t kUnixStartMs = 1'800'000'000'000;
+  static constexpr std::size_t kFreeAsks = 16;
+
+  void CarryOut() {
+    for (Effect& effect : m_core->TakeEffects()) {
+      std::visit([this](auto& one) { Do(one); }, effect);
+    }
+  }
+
+  void Do(const ReplyToCaller& reply) {
+    m_answers[reply.m_token] = reply.m_answer;
+  }
+
+  void Do(const StartRun& start) {
+    m_starts.push_back(start);
+    SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
+    if (!vm.m_reachable) {
+      return;
+    }
+    vm.m_running.push_back({start.m_task, start.m_run});
+    if (vm.m_answers_starts) {
+      m_core->OnStartAnswer(
+          {start.m_task, start.m_run, start.m_vm, StartOutcome::kStarted,
+           m_now_ms + vm.m_clock_offset_ms, ""},
+          Now());
+    }
+  }
+
+  void Do(const StopRun& stop) {
+    m_stops.push_back(stop);
+    SimulatedVm& vm = m_vms.at(stop.m_vm.m_id);
+    const SimulatedVm::Running run{stop.m_task, stop.m_run};
+    const bool runs = std::find(vm.m_running.begin(), vm.m_running.end(),
+                                run) != vm.m_running.end();
+    if (vm.m_reachable && runs) {
+      EndRun(vm, run, RunEnd::kStopped);
+    }
+  }
+
+  void Do(const AskAdvice& ask) {
+    m_asked.push_back(ask);
+    AdviceAnswer answer;
+    answer.m_step = ask.m_step;
+    answer.m_asked = ask.m_vms;
+    answer.m_ok = true;
+    answer.m_validity_ms = m_ticket_validity_ms;
+    for (const std::string& vm : ask.m_vms) {
+      if (m_advice(vm)) {
+        answer.m_good.push_back({vm, "ticket-" + vm});
+      }
+    }
+    m_core->OnAdvice(answer, Now());
+  }
+
+  std::unique_ptr<CellCore> m_core;
+  std::int64_t m_now_ms = 1'000;
+  std::uint64_t m_token = 0;
+  std::map<std::uint64_t, CellAnswer> m_answers;
+  std::map<std::string, SimulatedVm> m_vms;
+};
+
+}  // namespace mustardslip
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -118,6 +119,8 @@
   std::optional<JobPhase> m_shown;
   // Volatile: sent by the team beyond its rate; served when nothing else waits.
   bool m_excess = false;
+  // Volatile: VMs on which a run of the job failed.
+  std::set<std::string> m_failed_on;
   // The payload in the form in which starts share it.
   std::shared_ptr<const std::string> m_payload;
 
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -26,6 +26,8 @@
 // Gangs that hold free room back from what comes after them in the order. More
 // would leave the fleet idle behind gangs that wait for each other.
 constexpr int kReservingGangs = 2;
+// At most one in this many VMs of a pool is avoided.
+constexpr std::size_t kLargestAvoidedPart = 4;
 // Of the refreshed verdicts of a gang, this many VMs are named again.
 constexpr std::size_t kMostVmsRefreshed = 30;
 
@@ -64,7 +66,7 @@
 bool IsUsable(const VmState& vm, std::int64_t now_ms) {
   return vm.m_listed && vm.m_fenced && !vm.m_description.m_draining &&
          now_ms - vm.m_last_answer_ms < kSilentVmMs &&
-         vm.m_first_failed_call_ms == 0 && vm.m_avoid_until_ms <= now_ms;
+         vm.m_first_failed_call_ms == 0;
 }
 
 // A VM in this pass, with the room that is left after the decisions so far.
@@ -97,6 +99,9 @@
         m_slots[vm.m_description.m_service].push_back({&vm, vm.Free()});
       }
     }
+    for (auto& [service, slots] : m_slots) {
+      RemoveAvoided(slots);
+    }
   }
 
   ScheduleResult Run(const ReadySteps& ready) {
@@ -116,6 +121,30 @@
   }
 
  private:
+  // Leaves out the VMs that are to be avoided, but never more than a part of
+  // the pool: where many VMs seem bad, the jobs are the likelier cause.
+  void RemoveAvoided(std::vector<Slot>& slots) const {
+    const auto avoided = [this](const Slot& slot) {
+      return slot.m_vm->m_avoid_until_ms > m_now.m_steady_ms;
+    };
+    const std::size_t most =
+        std::max<std::size_t>(1, slots.size() / kLargestAvoidedPart);
+    std::stable_sort(slots.begin(), slots.end(),
+                     [&](const Slot& a, const Slot& b) {
+                       return BadJobs(a, avoided) < BadJobs(b, avoided);
+                     });
+    std::size_t left_out = 0;
+    while (slots.size() > 1 && left_out < most && avoided(slots.back())) {
+      slots.pop_back();
+      ++left_out;
+    }
+  }
+
+  template <typename Avoided>
+  static std::size_t BadJobs(const Slot& slot, const Avoided& avoided) {
+    return avoided(slot) ? slot.m_vm->m_failed_jobs.size() + 1 : 0;
+  }
+
   std::vector<Candidate> Order(const ReadySteps& ready) {
     std::vector<Candidate> order;
     order.reserve(ready.size());
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -71,8 +72,9 @@
   // Owner's steady clock: last answer of the VM; 0 for none.
   std::int64_t m_last_answer_ms = 0;
   std::int64_t m_first_failed_call_ms = 0;
-  // Failed runs since the last success, and when the VM may be tried again.
-  std::uint32_t m_failures_in_row = 0;
+  // The jobs whose runs failed here since the last success.
+  std::set<std::string> m_failed_jobs;
+  // Owner's steady clock: no starts before this, if others have room.
   std::int64_t m_avoid_until_ms = 0;
 
   const VmLife& Life() const { return m_description.m_life; }
