Ask for advice where a step is wider than its team's limit; log decisions

Cause: PlaceTasks returned before it asked for advice once the waiting tasks used up the team's room.

Ruled out: lost tickets and avoided VMs (the log shows neither).

Change: the loop ends instead. The test WideStepOfLimitedTeamGetsAdvice failed before.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -78,6 +78,10 @@
   bool HasBatchInFlight() const { return m_in_flight.has_value(); }
   // Moves the open batch in flight. Requires none in flight.
   const std::vector<LogRecord>& BeginBatch();
+  // Requires a batch in flight.
+  const std::vector<LogRecord>& BatchInFlight() const {
+    return m_in_flight->m_records;
+  }
   void OnDurable(const CellTime& now);
   // False while the store does not take writes: submissions are refused.
   void SetStoreWritable(bool writable) { m_store_writable = writable; }
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -247,6 +247,21 @@
   }
 }
 
+// Fails if a step that is wider than its team's limit is never asked about.
+TEST_F(CellCoreTest, WideStepOfLimitedTeamGetsAdvice) {
+  CellRules rules;
+  rules.m_version = 1;
+  rules.m_teams["team"].m_cap = {40'000, 0, 0};
+  m_cell.Core().OnRules(rules);
+  AddVms(4);
+  QueueRules queue = m_cell.Queue();
+  queue.m_needs_advice = true;
+  m_cell.Submit(
+      m_cell.Job(1, {CellHarness::Step(9, 10'000)}, queue, "team"));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(1), 4U);
+}
+
 // Fails if jobs that fail by their own fault take healthy VMs out of service.
 TEST_F(CellCoreTest, FailingJobsDoNotEmptyTheFleet) {
   AddVms(2);
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -214,8 +214,8 @@
     }
   }
 
-  static void EndRun(SimulatedVm& vm, SimulatedVm::Running run,
-                     RunEnd how, const std::string& checkpoint = "") {
+  static void EndRun(SimulatedVm& vm, SimulatedVm::Running run, RunEnd how,
+                     const std::string& checkpoint = "") {
     std::erase(vm.m_running, run);
     vm.m_ended.push_back(
         {++vm.m_last_end, run.m_task, run.m_run, how, checkpoint});
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -16,6 +16,7 @@
 #include "cell/cell_core.h"
 #include "cell/cell_platform.h"
 #include "cell/cell_request.h"
+#include "cell/decision_log.h"
 #include "cell/owner_log.h"
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
@@ -118,6 +119,7 @@
   void OnRemoteAdvice(std::uint64_t daemon, std::uint64_t number,
                       AdviceAnswer answer) {
     if (m_asks.Finish(daemon, number)) {
+      LogAdvice(answer);
       m_core.OnAdvice(answer, m_loop.Now());
       PumpSoon();
     }
@@ -280,6 +282,7 @@
       if (snapshot) {
         m_log.WriteSnapshot(*snapshot);
       }
+      LogDecisions(m_core.BatchInFlight());
       m_core.OnDurable(m_loop.Now());
       // Without delay, as starts wait for this.
       CarryOut();
@@ -305,6 +308,7 @@
                     Superseded();
                     return;
                   }
+                  LogStartAnswer(answer);
                   m_core.OnStartAnswer(answer, m_loop.Now());
                   PumpSoon();
                 });
@@ -342,6 +346,10 @@
     }
     const Waiting waiting = std::move(found->second);
     m_waiting.erase(found);
+    if (reply.m_answer.m_outcome == CellOutcome::kRefused) {
+      Log(LogLevel::kInfo, LogCategory::kCell, "job_refused",
+          {{"job", waiting.m_job}, {"reason", reply.m_answer.m_reason}});
+    }
     waiting.m_done(std::move(reply.m_answer));
   }
 
@@ -350,6 +358,7 @@
       AdviceAnswer failed;
       failed.m_step = ask.m_step;
       failed.m_asked = ask.m_vms;
+      LogAdvice(failed);
       m_core.OnAdvice(failed, m_loop.Now());
     }
   }
--- /dev/null
+++ b/Source/Core/cell/decision_log.cc
@@ -0,0 +1,103 @@
+// Formats the decisions of a cell.
+#include "cell/decision_log.h"
+
+#include <fmt/core.h>
+
+#include <map>
+#include <string>
+
+#include "common/logger.h"
+
+namespace mustardslip {
+namespace {
+
+// Lines name at most this many runs, to stay short.
+constexpr std::size_t kMostRunsNamed = 40;
+
+// Collects the runs of a step of one kind.
+struct RunList {
+  std::size_t m_count = 0;
+  std::string m_text;
+
+  void Add(const TaskRef& task, std::uint32_t run, const std::string& vm) {
+    if (++m_count <= kMostRunsNamed) {
+      m_text += fmt::format("{}{}#{}@{}", m_text.empty() ? "" : " ",
+                            task.m_index, run, vm);
+    }
+  }
+};
+
+StepRef StepOf(const TaskRef& task) {
+  return {task.m_job, task.m_occurrence, task.m_step};
+}
+
+void LogRuns(std::string_view event, const StepRef& step, const RunList& runs,
+             std::string_view how) {
+  Log(LogLevel::kInfo, LogCategory::kCell, event,
+      {{"job", step.m_job},
+       {"step", ToString(step)},
+       {"how", how},
+       {"count", runs.m_count},
+       {"runs", runs.m_text}});
+}
+
+}  // namespace
+
+void LogDecisions(const std::vector<LogRecord>& records) {
+  std::map<StepRef, RunList> planned;
+  std::map<std::pair<StepRef, RunEnd>, RunList> ended;
+  for (const LogRecord& record : records) {
+    if (const auto* accepted = std::get_if<JobAccepted>(&record)) {
+      const WorkflowSpec& spec = accepted->m_spec;
+      Log(LogLevel::kInfo, LogCategory::kCell, "job_accepted",
+          {{"job", spec.m_id},
+           {"queue", spec.m_queue.m_name},
+           {"team", spec.m_team},
+           {"steps", spec.m_steps.size()}});
+    } else if (const auto* cancelled = std::get_if<JobCancelled>(&record)) {
+      Log(LogLevel::kInfo, LogCategory::kCell, "job_cancelled",
+          {{"job", cancelled->m_job}});
+    } else if (const auto* run = std::get_if<RunPlanned>(&record)) {
+      planned[StepOf(run->m_task)].Add(run->m_task, run->m_run, run->m_vm.m_id);
+    } else if (const auto* end = std::get_if<RunEnded>(&record)) {
+      ended[{StepOf(end->m_task), end->m_end}].Add(end->m_task, end->m_run,
+                                                   end->m_vm.m_id);
+    }
+  }
+  for (const auto& [step, runs] : planned) {
+    LogRuns("runs_planned", step, runs, "");
+  }
+  for (const auto& [key, runs] : ended) {
+    LogRuns("runs_ended", key.first, runs, ToString(key.second));
+  }
+}
+
+void LogAdvice(const AdviceAnswer& answer) {
+  std::string good;
+  for (const AdviceAnswer::Row& row : answer.m_good) {
+    good += fmt::format("{}{}", good.empty() ? "" : " ", row.m_vm);
+  }
+  Log(LogLevel::kInfo, LogCategory::kCell,
+      answer.m_ok ? "advice_received" : "advice_failed",
+      {{"job", answer.m_step.m_job},
+       {"step", ToString(answer.m_step)},
+       {"asked", answer.m_asked.size()},
+       {"advised", good},
+       {"valid_ms", answer.m_validity_ms}});
+}
+
+void LogStartAnswer(const StartAnswer& answer) {
+  if (answer.m_outcome == StartOutcome::kStarted) {
+    return;
+  }
+  Log(LogLevel::kInfo, LogCategory::kCell,
+      answer.m_outcome == StartOutcome::kUnknown ? "start_unanswered"
+                                                 : "start_refused",
+      {{"job", answer.m_task.m_job},
+       {"task", ToString(answer.m_task)},
+       {"run", answer.m_run},
+       {"vm", answer.m_vm.m_id},
+       {"reason", answer.m_reason}});
+}
+
+}  // namespace mustardslip
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -297,7 +297,7 @@
         continue;
       }
       if (team_room < 1) {
-        return;
+        break;
       }
       Slot* slot = waiting > 0 ? nullptr : BestSlot(candidate, task, slots);
       if (slot == nullptr) {
--- a/Source/Core/common/logger.h
+++ b/Source/Core/common/logger.h
@@ -1,4 +1,8 @@
-// JSON-line logs on standard error, with one category per slice.
+// JSON-line logs on standard output, with one category per slice.
+//
+// Logging never blocks and its volume is bounded: lines that standard output
+// does not take at once, and lines beyond the rate, are dropped and counted;
+// the count is logged as `log_lines_dropped`.
 #pragma once
 
 #include <initializer_list>
@@ -26,6 +30,7 @@
   kJobs,
   kGateway,
   kReport,
+  kCell,
 };
 
 using LogFields =
