An owner that cannot write asks for a successor; refuse unwritten jobs at once

Jobs whose record had not left were held until their deadline.

Ruled out: a shorter lease alone, which costs a takeover whenever the store is slow.

Change: after refusals for 300 ms, or silence for 1.1 s, the owner asks its peers to take the cell; the record's revision still decides. Submissions whose record is only in the open batch are refused.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -66,7 +66,7 @@
     if (known->m_shown) {
       Reply(token, accepted);
     } else {
-      Gate(Effect{ReplyToCaller{token, accepted}});
+      Gate(GatedReply{spec.m_id, {token, accepted}});
     }
     return;
   }
@@ -89,7 +89,7 @@
   }
   ReleaseOccurrences(job, now);
   ++m_counters.m_accepted;
-  Gate(Effect{ReplyToCaller{token, accepted}});
+  Gate(GatedReply{id, {token, accepted}});
 }
 
 void CellCore::Cancel(std::uint64_t token, const std::string& queue,
@@ -110,7 +110,7 @@
   if (job->m_shown == job->Phase()) {
     Reply(token, answer);
   } else {
-    Gate(Effect{ReplyToCaller{token, answer}});
+    Gate(GatedReply{id, {token, answer}});
   }
 }
 
@@ -181,8 +181,67 @@
     m_open.m_gated.push_back(std::move(effect));
   } else if (m_in_flight) {
     m_in_flight->m_gated.push_back(std::move(effect));
-  } else if (auto* one = std::get_if<Effect>(&effect)) {
-    m_effects.push_back(std::move(*one));
+  } else if (auto* reply = std::get_if<GatedReply>(&effect)) {
+    m_effects.push_back(std::move(reply->m_reply));
+  }
+}
+
+void CellCore::SetStoreWritable(bool writable) {
+  const bool was_writable = m_store_writable;
+  m_store_writable = writable;
+  if (was_writable && !writable) {
+    WithdrawUnwrittenJobs();
+  }
+}
+
+bool CellCore::IsEffectOf(const Gated& gated,
+                          const std::set<std::string>& jobs) {
+  if (const auto* show = std::get_if<ShowPhase>(&gated)) {
+    return jobs.count(show->m_job) != 0;
+  }
+  const auto* stop = std::get_if<StopJob>(&gated);
+  return stop != nullptr && jobs.count(stop->m_job) != 0;
+}
+
+// A job whose record is only in the open batch is in no store, and nothing was
+// planned for it: it can be refused truthfully instead of held.
+void CellCore::WithdrawUnwrittenJobs() {
+  std::set<std::string> withdrawn;
+  for (const LogRecord& record : m_open.m_records) {
+    if (const auto* accepted = std::get_if<JobAccepted>(&record)) {
+      const Job* job = m_state.FindJob(accepted->m_spec.m_id);
+      if (job != nullptr && job->m_open_runs == 0) {
+        withdrawn.insert(accepted->m_spec.m_id);
+      }
+    }
+  }
+  std::erase_if(m_open.m_records, [&](const LogRecord& record) {
+    const auto* accepted = std::get_if<JobAccepted>(&record);
+    const auto* cancelled = std::get_if<JobCancelled>(&record);
+    return (accepted != nullptr && withdrawn.count(accepted->m_spec.m_id)) ||
+           (cancelled != nullptr && withdrawn.count(cancelled->m_job));
+  });
+  std::vector<Gated> kept;
+  for (Gated& gated : m_open.m_gated) {
+    const auto* reply = std::get_if<GatedReply>(&gated);
+    if (reply != nullptr && withdrawn.count(reply->m_job) != 0) {
+      Refuse(reply->m_reply.m_token, "store_unavailable", kRetryWithoutStoreMs);
+    } else if (IsEffectOf(gated, withdrawn)) {
+      // Would be released for the next try of the job.
+      continue;
+    } else {
+      kept.push_back(std::move(gated));
+    }
+  }
+  m_open.m_gated = std::move(kept);
+  if (m_open.m_records.empty() && m_in_flight) {
+    std::move(m_open.m_gated.begin(), m_open.m_gated.end(),
+              std::back_inserter(m_in_flight->m_gated));
+    m_open.m_gated.clear();
+  }
+  for (const std::string& id : withdrawn) {
+    m_state.Withdraw(id);
+    std::erase_if(m_ready, [&](const StepRef& ref) { return ref.m_job == id; });
   }
 }
 
@@ -218,7 +277,7 @@
       StopRuns(*job, now);
     }
   } else {
-    m_effects.push_back(std::get<Effect>(effect));
+    m_effects.push_back(std::get<GatedReply>(effect).m_reply);
   }
 }
 
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -83,8 +83,9 @@
     return m_in_flight->m_records;
   }
   void OnDurable(const CellTime& now);
-  // False while the store does not take writes: submissions are refused.
-  void SetStoreWritable(bool writable) { m_store_writable = writable; }
+  // False while the store does not take writes: submissions are refused, also
+  // those whose record has not left yet.
+  void SetStoreWritable(bool writable);
 
   std::vector<Effect> TakeEffects();
 
@@ -115,8 +116,12 @@
   struct StopJob {
     std::string m_job;
   };
+  struct GatedReply {
+    std::string m_job;
+    ReplyToCaller m_reply;
+  };
   using Gated =
-      std::variant<PlannedStart, ShowPhase, ReleaseEnds, StopJob, Effect>;
+      std::variant<PlannedStart, ShowPhase, ReleaseEnds, StopJob, GatedReply>;
 
   struct Batch {
     std::vector<LogRecord> m_records;
@@ -130,6 +135,9 @@
   void ReleaseStart(const Placement& placement, const CellTime& now);
 
   void Reply(std::uint64_t token, CellAnswer answer);
+  // True for an effect on the callers' view of one of the jobs.
+  static bool IsEffectOf(const Gated& gated, const std::set<std::string>& jobs);
+  void WithdrawUnwrittenJobs();
   void Refuse(std::uint64_t token, std::string reason,
               std::int64_t retry_after_ms);
 
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -51,6 +51,55 @@
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
 }
 
+// Fails if a job is held, or refused although it is written, when the store
+// stops taking writes.
+TEST_F(CellCoreTest, RefusesUnwrittenJobsWhenTheStoreStalls) {
+  AddVms(1);
+  m_cell.m_store_up = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Write();
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
+  m_cell.Core().SetStoreWritable(false);
+  m_cell.Pump();
+  ASSERT_TRUE(m_cell.LastAnswer().has_value());
+  EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kRefused);
+  EXPECT_GT(m_cell.LastAnswer()->m_retry_after_ms, 0);
+  EXPECT_FALSE(m_cell.Answer(1).has_value());
+  m_cell.m_store_up = true;
+  m_cell.Core().SetStoreWritable(true);
+  m_cell.Core().OnDurable(m_cell.Now());
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.Answer(1)->m_outcome, CellOutcome::kAccepted);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  EXPECT_EQ(m_cell.RunningOf(2), 0U);
+}
+
+// Fails if effects of a job that was withdrawn are released for its next try:
+// the second try was acknowledged before its record was in the store.
+TEST_F(CellCoreTest, WithdrawnJobLeavesNoEffectsBehind) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(100);
+  m_cell.m_store_up = false;
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
+  m_cell.Write();
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Look();
+  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(1, 1'000)}));
+  m_cell.Core().SetStoreWritable(false);
+  m_cell.Core().SetStoreWritable(true);
+  m_cell.Core().OnDurable(m_cell.Now());
+  m_cell.Write();
+  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(1, 1'000)}));
+  m_cell.Core().OnDurable(m_cell.Now());
+  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  EXPECT_FALSE(m_cell.LastAnswer().has_value());
+  m_cell.m_store_up = true;
+  m_cell.Run(100);
+  EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kAccepted);
+}
+
 // Fails if a repeated submission becomes a second job.
 TEST_F(CellCoreTest, RepeatedSubmissionIsOneJob) {
   AddVms(1);
@@ -256,8 +305,7 @@
   AddVms(4);
   QueueRules queue = m_cell.Queue();
   queue.m_needs_advice = true;
-  m_cell.Submit(
-      m_cell.Job(1, {CellHarness::Step(9, 10'000)}, queue, "team"));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(9, 10'000)}, queue, "team"));
   m_cell.Run(500);
   EXPECT_EQ(m_cell.RunningOf(1), 4U);
 }
--- a/Source/Core/cell/cell_entry.h
+++ b/Source/Core/cell/cell_entry.h
@@ -60,10 +60,18 @@
   std::size_t OpenRequests() const { return m_open.size(); }
 
   // `done` runs once, at the latest `wait_ms` from now. An unanswered request
-  // ends as kUnknown: it may have been carried out.
+  // ends as kUnknown: it, or an earlier try of it, may have been carried out.
+  // Without an owner it ends before half of that time, so that the caller can
+  // come back while it still waits.
   void Handle(CellRequest request, std::int64_t wait_ms, AnswerDone done) {
     const std::uint64_t number = ++m_last_number;
     m_open[number] = {std::move(request), std::move(done), false};
+    m_loop.After(wait_ms * kWaitForOwnerPercent / 100,
+                 [this, alive = m_alive, number] {
+                   if (*alive && !Connected()) {
+                     GiveUp(number);
+                   }
+                 });
     m_loop.After(std::max<std::int64_t>(1, wait_ms),
                  [this, alive = m_alive, number] {
                    if (*alive) {
@@ -135,6 +143,7 @@
   }
 
   static constexpr std::int64_t kRetryMs = 1'000;
+  static constexpr std::int64_t kWaitForOwnerPercent = 45;
 
   Loop& m_loop;
   std::shared_ptr<bool> m_alive;
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -104,8 +104,10 @@
     m_core->Submit(++m_token, std::move(spec), Now());
   }
   // The answer to the newest call of a caller, if it came.
-  std::optional<CellAnswer> LastAnswer() const {
-    const auto found = m_answers.find(m_token);
+  std::optional<CellAnswer> LastAnswer() const { return Answer(m_token); }
+  // The answer to the n-th call of a caller, from 1.
+  std::optional<CellAnswer> Answer(std::uint64_t number) const {
+    const auto found = m_answers.find(number);
     return found == m_answers.end() ? std::nullopt
                                     : std::optional(found->second);
   }
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -164,6 +164,7 @@
     typename Owner::Handlers handlers;
     handlers.m_on_ready = [this] { OnOwnerReady(); };
     handlers.m_on_superseded = [this] { m_ownership.OnSuperseded(); };
+    handlers.m_on_stuck = [this] { AskForSuccessor(); };
     handlers.m_remote_ask = [this](std::uint64_t peer, std::uint64_t number,
                                    const AskAdvice& ask) {
       LinkMessage message;
@@ -192,6 +193,17 @@
     }
   }
 
+  // The store may answer other daemons.
+  void AskForSuccessor() {
+    Log(LogLevel::kWarning, LogCategory::kMembership, "store_takes_no_writes",
+        {{"peers", m_peers.size()}});
+    LinkMessage message;
+    message.m_kind = LinkMessageKind::kYield;
+    for (const auto& [number, peer] : m_peers) {
+      SendTo(number, message);
+    }
+  }
+
   void OnLost() {
     // Not from within the owner's own call stack.
     std::shared_ptr<Owner> owner = std::move(m_owner);
@@ -292,6 +304,9 @@
       case LinkMessageKind::kAdvise:
         AskFor(*message);
         break;
+      case LinkMessageKind::kYield:
+        m_ownership.OnOwnerYields(m_link_revision);
+        break;
       default:
         break;
     }
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -48,6 +48,8 @@
   struct Handlers {
     std::function<void()> m_on_ready;
     std::function<void()> m_on_superseded;
+    // The store takes no writes from this daemon. Called again while it lasts.
+    std::function<void()> m_on_stuck;
     RemoteAsk m_remote_ask;
   };
 
@@ -137,7 +139,8 @@
   static constexpr std::int64_t kVmWatchMs = 1'000;
   // Least time between two writes to the log: each write is priced, and a
   // larger batch costs no more.
-  static constexpr std::int64_t kCommitIntervalMs = 20;
+  static constexpr std::int64_t kCommitIntervalMs = 30;
+  static constexpr std::int64_t kReportStuckMs = 1'000;
   // A write that takes longer than this shows that the store takes none.
   static constexpr std::int64_t kStoreStalledMs = 700;
 
@@ -218,7 +221,12 @@
         now.m_steady_ms - std::max(m_log.LastAnswerMs(), m_renewed_ms) <
         kHoldWithoutStoreMs;
     m_holder.OnTick(reached_store);
-    m_core.SetStoreWritable(m_log.StalledMs() < kStoreStalledMs);
+    const bool stuck = m_log.Stuck();
+    m_core.SetStoreWritable(!stuck && m_log.StalledMs() < kStoreStalledMs);
+    if (stuck && now.m_steady_ms - m_stuck_reported_ms >= kReportStuckMs) {
+      m_stuck_reported_ms = now.m_steady_ms;
+      m_handlers.m_on_stuck();
+    }
     Pump();
     Later(kTickMs, [this] { Tick(); });
   }
@@ -405,6 +413,7 @@
   std::int64_t m_started_ms = 0;
   std::int64_t m_last_commit_ms = 0;
   std::int64_t m_renewed_ms = 0;
+  std::int64_t m_stuck_reported_ms = 0;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -103,7 +103,7 @@
     case LinkMessageKind::kWelcome:
     case LinkMessageKind::kNotOwner:
     case LinkMessageKind::kPing:
-    case LinkMessageKind::kDraining:
+    case LinkMessageKind::kYield:
       decoded.m_instance = header.value("i", "");
       decoded.m_configuration_version = header.value("c", std::int64_t{0});
       break;
@@ -145,7 +145,7 @@
     case LinkMessageKind::kWelcome:
     case LinkMessageKind::kNotOwner:
     case LinkMessageKind::kPing:
-    case LinkMessageKind::kDraining:
+    case LinkMessageKind::kYield:
       encoded.m_header["i"] = message.m_instance;
       encoded.m_header["c"] = message.m_configuration_version;
       break;
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -37,7 +37,8 @@
   kAnswer,
   kAdvise,
   kAdvice,
-  kDraining,
+  // From the owner: it cannot write to the store. Whoever can takes the cell.
+  kYield,
 };
 
 struct LinkMessage {
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -306,6 +306,11 @@
   });
 }
 
+void CellState::Withdraw(const std::string& id) {
+  m_active.erase(id);
+  m_jobs.erase(id);
+}
+
 std::vector<LogRecord> CellState::Snapshot() const {
   std::vector<LogRecord> records;
   std::vector<LogRecord> open;
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -46,6 +46,8 @@
 
   // Drops jobs that ended before `unix_ms` and have no open runs.
   void DropEndedBefore(std::int64_t unix_ms);
+  // Forgets a job whose record was never written.
+  void Withdraw(const std::string& id);
   // The same state as a list of records, for a snapshot.
   std::vector<LogRecord> Snapshot() const;
 
--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -88,6 +88,13 @@
     return m_writing ? m_loop.Now().m_steady_ms - m_first_try_ms : 0;
   }
 
+  // The store takes no writes from this daemon: several tries failed, over more
+  // than the time that a slow store takes.
+  bool Stuck() const {
+    return StalledMs() > kSilentStoreMs ||
+           (m_refused_tries >= kTriesBeforeStuck && StalledMs() > kStuckMs);
+  }
+
   // Steady clock of the last answer of the store to a write.
   std::int64_t LastAnswerMs() const { return m_last_answer_ms; }
 
@@ -125,6 +132,11 @@
   // A write is repeated when this many times its usual time has passed.
   static constexpr std::int64_t kTimeoutFactor = 4;
   static constexpr std::int64_t kRetryMs = 40;
+  // A store that refuses shows it at once. One that is slow (up to 300 ms an
+  // answer was seen) looks like a silent one for the first tries.
+  static constexpr int kTriesBeforeStuck = 4;
+  static constexpr std::int64_t kStuckMs = 300;
+  static constexpr std::int64_t kSilentStoreMs = 1'100;
   // Marks a complete snapshot: holds the number of its parts.
   static constexpr std::string_view kCompletePart = "complete";
 
@@ -170,8 +182,8 @@
     m_old_keys.clear();
     for (const StoreItem& item : m_loading_segments) {
       const std::string expected = SegmentKey(m_next_segment);
-      if (item.m_key < expected) {
-        m_old_keys.push_back(item.m_key);
+      if (item.m_key < SegmentKey(m_first_segment)) {
+        m_old_keys.push_back(item.m_key);  // Covered by the snapshot.
         continue;
       }
       // Segments have no gap: each is written after the one before it.
@@ -240,10 +252,14 @@
     if (!answer) {
       constexpr int kMostDoublings = 4;
       m_tries = std::min(m_tries + 1, kMostDoublings);
+      if (answer.error().HadNoEffect()) {
+        ++m_refused_tries;
+      }
       Later(kRetryMs, [this] { Try(); });
       return;
     }
     m_tries = 0;
+    m_refused_tries = 0;
     m_last_answer_ms = now_ms;
     m_usual_ms =
         std::max<std::int64_t>(1, (m_usual_ms * 3 + (now_ms - sent_ms)) / 4);
@@ -382,6 +398,7 @@
   std::int64_t m_last_answer_ms = 0;
   std::int64_t m_usual_ms = kLeastTimeoutMs / kTimeoutFactor;
   int m_tries = 0;
+  int m_refused_tries = 0;
   StoreTransaction m_transaction;
   std::function<void()> m_segment_done;
   std::vector<std::string> m_old_keys;
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -101,6 +101,21 @@
     }
   }
 
+  // The owner of this revision asks for a successor. Tried only for a short
+  // time: where the store is down for all, the owner stays.
+  void OnOwnerYields(Revision revision) {
+    if (!m_known || m_known->m_revision != revision || m_owned) {
+      return;
+    }
+    m_dead_revision = revision;
+    BecomeCandidate(m_options.m_candidacy_delay_ms);
+    Later(kYieldValidMs, [this, revision] {
+      if (m_dead_revision == revision && !m_owned) {
+        m_dead_revision = 0;
+      }
+    });
+  }
+
   // The log found another owner.
   void OnSuperseded() { Lose("superseded"); }
 
@@ -126,6 +141,7 @@
   // Renewals in one lease.
   static constexpr std::int64_t kRenewalsPerLease = 4;
   static constexpr std::int64_t kCommitTimeoutMs = 600;
+  static constexpr std::int64_t kYieldValidMs = 900;
 
   typename PrefixFeed<Store, Loop>::Handlers FeedHandlers() {
     typename PrefixFeed<Store, Loop>::Handlers handlers;
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -22,7 +22,7 @@
 
 // Idle connections kept for each peer. More calls at once open more
 // connections, which are closed when they are done.
-constexpr std::size_t kIdleConnectionsKept = 4;
+constexpr std::size_t kIdleConnectionsKept = 16;
 
 evhttp_cmd_type MethodOf(const std::string& method) {
   if (method == "POST") {
@@ -204,6 +204,10 @@
         return;
       }
       Release(exchange->m_peer, exchange->m_connection, keep);
+      if (!result) {
+        // Connections may go silent together; new ones show it.
+        Forget(exchange->m_peer);
+      }
       exchange->m_done(std::move(result));
     });
   }
