Keep whole VMs for waiting gangs; keep idle channels open

Ruled out: more calls for advice (the tickets were there), the owner's processor (0.17 cores at most).

Change: a waiting gang keeps later steps off the VMs with the most room, as many as would hold it empty; one gang per 24 VMs, two at least. Idle channels stay for five minutes.

--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -25,7 +25,8 @@
 constexpr std::int64_t kAskAgainMs = 60;
 // Gangs that hold free room back from what comes after them in the order. More
 // would leave the fleet idle behind gangs that wait for each other.
-constexpr int kReservingGangs = 2;
+constexpr int kLeastReservingGangs = 2;
+constexpr int kVmsPerGang = 24;
 // At most one in this many VMs of a pool is avoided.
 constexpr std::size_t kLargestAvoidedPart = 4;
 // Of the refreshed verdicts of a gang, this many VMs are named again.
@@ -546,22 +547,40 @@
     }
   }
 
-  // Holds advised room back from what comes later in the order.
+  // Keeps what comes later in the order off the VMs on which the gang can start
+  // soonest: those with the most room, as many as would hold it when they are
+  // empty. Room that is merely left over never adds up to a gang, as smaller
+  // tasks take it first.
   void ReserveForGang(const Candidate& candidate, std::vector<Slot>& slots,
                       std::int64_t tasks) {
-    if (m_reserving_gangs >= kReservingGangs) {
+    const int most = std::max(kLeastReservingGangs,
+                              static_cast<int>(slots.size()) / kVmsPerGang);
+    if (m_reserving_gangs >= most) {
       return;
     }
-    ++m_reserving_gangs;
     const bool advised = candidate.m_job->m_spec.m_queue.m_needs_advice;
-    const auto room = GangRoom(candidate, slots, [&](const Slot& slot) {
-      return MayRun(candidate, slot) &&
-             (!advised || KnownGood(candidate, slot));
-    });
-    for (const auto& [slot, fit] : room) {
-      const std::int64_t taken = std::min(fit, tasks);
-      Take(candidate, *slot, taken);
-      tasks -= taken;
+    std::vector<Slot*> usable;
+    for (Slot& slot : slots) {
+      if (slot.m_free.m_cpu_millis > 0 && MayRun(candidate, slot) &&
+          (!advised || KnownGood(candidate, slot))) {
+        usable.push_back(&slot);
+      }
+    }
+    if (usable.empty()) {
+      return;
+    }
+    ++m_reserving_gangs;
+    std::stable_sort(usable.begin(), usable.end(),
+                     [](const Slot* a, const Slot* b) {
+                       return a->m_free.m_cpu_millis > b->m_free.m_cpu_millis;
+                     });
+    const Resources charge = ChargeOf(*candidate.m_spec);
+    for (Slot* slot : usable) {
+      if (tasks <= 0) {
+        break;
+      }
+      tasks -= FitCount(charge, slot->m_vm->m_description.m_capacity);
+      slot->m_free = {};
     }
   }
 
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -24,6 +24,9 @@
 // connections, which are closed when they are done.
 constexpr std::size_t kIdleConnectionsKept = 16;
 
+// How long an idle connection is kept.
+constexpr Milliseconds kIdleLimit{300'000};
+
 evhttp_cmd_type MethodOf(const std::string& method) {
   if (method == "POST") {
     return EVHTTP_REQ_POST;
@@ -215,6 +218,9 @@
   void Release(const Endpoint& peer, evhttp_connection* connection, bool keep) {
     std::vector<evhttp_connection*>& idle = m_idle[peer];
     if (keep && idle.size() < kIdleConnectionsKept) {
+      // Otherwise the limit of the last call closes the idle connection.
+      const timeval limit = ToTimeval(kIdleLimit);
+      evhttp_connection_set_timeout_tv(connection, &limit);
       idle.push_back(connection);
       return;
     }
