Test the log, the ownership and the adapter under faults; replace an unreadable owner record

Cause: a record in the owner's place that no daemon wrote was never replaced, as the takeover expected no record at all. UnreadableRecordIsReplaced failed before.

Change: its revision is what the takeover replaces. Fakes of the store and of time carry the tests.

--- /dev/null
+++ b/Source/Core/cell/fake_async_store.h
@@ -0,0 +1,246 @@
+// An AsyncStore in memory for tests, with the faults of the platform's store:
+// refused calls, lost answers, writes that are carried out late, leases that
+// end and history that is dropped. Several clients can share one state.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/async_store.h"
+#include "cell/manual_loop.h"
+
+namespace mustardslip {
+
+// The state that all clients see.
+class FakeStoreState {
+ public:
+  struct Value {
+    std::string m_value;
+    Revision m_revision = 0;
+    LeaseId m_lease = 0;
+  };
+
+  CommitAnswer Commit(const StoreTransaction& transaction) {
+    CommitAnswer answer;
+    for (const auto& [key, revision] : transaction.m_expected) {
+      const auto found = m_values.find(key);
+      const Revision present =
+          found == m_values.end() ? 0 : found->second.m_revision;
+      if (present != revision) {
+        answer.m_current = Current(transaction);
+        return answer;
+      }
+    }
+    answer.m_committed = true;
+    answer.m_revision = ++m_revision;
+    for (const StorePut& put : transaction.m_puts) {
+      m_values[put.m_key] = {put.m_value, m_revision, put.m_lease};
+      m_events.push_back({{put.m_key, put.m_value, m_revision}, false});
+    }
+    for (const std::string& key : transaction.m_removals) {
+      Remove(key);
+    }
+    return answer;
+  }
+
+  // An operator's or another program's write.
+  void Put(const std::string& key, const std::string& value) {
+    StoreTransaction transaction;
+    transaction.m_puts = {{key, value, 0}};
+    Commit(transaction);
+  }
+
+  void EndLease(LeaseId lease) {
+    m_leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : m_values) {
+      if (value.m_lease == lease) {
+        keys.push_back(key);
+      }
+    }
+    ++m_revision;
+    for (const std::string& key : keys) {
+      Remove(key);
+    }
+  }
+
+  // Watches that begin before this find their history gone.
+  void DropHistory() {
+    m_events.clear();
+    m_oldest_revision = m_revision;
+  }
+
+  std::map<std::string, Value> m_values;
+  std::vector<StoreEvent> m_events;
+  // Leases and their lengths in ms.
+  std::map<LeaseId, std::int64_t> m_leases;
+  LeaseId m_last_lease = 0;
+  Revision m_revision = 1;
+  Revision m_oldest_revision = 0;
+
+ private:
+  void Remove(const std::string& key) {
+    m_values.erase(key);
+    m_events.push_back({{key, "", m_revision}, true});
+  }
+
+  std::vector<StoreItem> Current(const StoreTransaction& transaction) const {
+    std::vector<StoreItem> items;
+    for (const auto& [key, revision] : transaction.m_expected) {
+      const auto found = m_values.find(key);
+      if (found != m_values.end()) {
+        items.push_back({key, found->second.m_value, found->second.m_revision});
+      }
+    }
+    return items;
+  }
+};
+
+class FakeAsyncStore {
+ public:
+  enum class Fault {
+    kNone,
+    kRefuse,      // Nothing is done, and the call fails at once.
+    kSilent,      // Nothing is done, and no answer comes.
+    kLoseAnswer,  // Writes are done, and no answer comes.
+    kLate,        // Writes are done after m_late_ms, and no answer comes.
+  };
+
+  FakeAsyncStore(FakeStoreState& state, ManualLoop& loop)
+      : m_state(state), m_loop(loop) {}
+
+  void List(const std::string& prefix, const std::string& after,
+            StoreCallback<ItemPage> done) {
+    Answer<ItemPage>(kReadTimeoutMs, std::move(done), [this, prefix, after] {
+      ItemPage page;
+      for (auto item = m_state.m_values.upper_bound(std::max(prefix, after));
+           item != m_state.m_values.end() && item->first.starts_with(prefix);
+           ++item) {
+        if (page.m_items.size() == m_page_size) {
+          page.m_more = true;
+          break;
+        }
+        page.m_items.push_back(
+            {item->first, item->second.m_value, item->second.m_revision});
+      }
+      if (after.empty() && m_state.m_values.count(prefix) != 0) {
+        const auto& own = m_state.m_values.at(prefix);
+        page.m_items.insert(page.m_items.begin(),
+                            {prefix, own.m_value, own.m_revision});
+      }
+      page.m_store_revision = m_state.m_revision;
+      return Result<ItemPage>(page);
+    });
+  }
+
+  void Watch(const std::string& prefix, Revision after, std::int64_t wait_ms,
+             StoreCallback<WatchAnswer> done) {
+    if (Failing()) {
+      Answer<WatchAnswer>(wait_ms, std::move(done),
+                          [] { return Result<WatchAnswer>(WatchAnswer{}); });
+      return;
+    }
+    Poll(prefix, after, m_loop.Now().m_steady_ms + wait_ms, std::move(done));
+  }
+
+  void Commit(const StoreTransaction& transaction, std::int64_t timeout_ms,
+              StoreCallback<CommitAnswer> done) {
+    ++m_commits;
+    if (m_fault == Fault::kLoseAnswer) {
+      m_state.Commit(transaction);
+    } else if (m_fault == Fault::kLate) {
+      m_loop.After(m_late_ms,
+                   [this, transaction] { m_state.Commit(transaction); });
+    }
+    Answer<CommitAnswer>(timeout_ms, std::move(done), [this, transaction] {
+      return Result<CommitAnswer>(m_state.Commit(transaction));
+    });
+  }
+
+  void GrantLease(std::int64_t ttl_ms, StoreCallback<LeaseId> done) {
+    Answer<LeaseId>(kReadTimeoutMs, std::move(done), [this, ttl_ms] {
+      m_state.m_leases[++m_state.m_last_lease] = ttl_ms;
+      return Result<LeaseId>(m_state.m_last_lease);
+    });
+  }
+
+  void KeepLease(LeaseId lease, StoreCallback<bool> done) {
+    Answer<bool>(kReadTimeoutMs, std::move(done), [this, lease] {
+      return m_state.m_leases.count(lease) != 0
+                 ? Result<bool>(true)
+                 : Result<bool>(Fail(ErrorCode::kNotFound, "not_found"));
+    });
+  }
+
+  void EndLease(LeaseId lease, StoreCallback<bool> done) {
+    Answer<bool>(kReadTimeoutMs, std::move(done), [this, lease] {
+      m_state.EndLease(lease);
+      return Result<bool>(true);
+    });
+  }
+
+  Fault m_fault = Fault::kNone;
+  std::int64_t m_late_ms = 3'000;
+  std::size_t m_page_size = 3;
+  std::size_t m_commits = 0;
+
+ private:
+  static constexpr std::int64_t kLatencyMs = 4;
+  static constexpr std::int64_t kReadTimeoutMs = 500;
+  static constexpr std::int64_t kPollMs = 10;
+
+  bool Failing() const { return m_fault != Fault::kNone; }
+
+  template <typename T, typename Act>
+  void Answer(std::int64_t timeout_ms, StoreCallback<T> done, Act act) {
+    if (m_fault == Fault::kRefuse) {
+      m_loop.After(kLatencyMs, [done = std::move(done)] {
+        done(Fail(ErrorCode::kUnavailable, "refused"));
+      });
+    } else if (Failing()) {
+      m_loop.After(timeout_ms, [done = std::move(done)] {
+        done(Fail(ErrorCode::kUnknownOutcome, "no_answer"));
+      });
+    } else {
+      auto result = std::make_shared<Result<T>>(act());
+      m_loop.After(kLatencyMs,
+                   [done = std::move(done), result] { done(*result); });
+    }
+  }
+
+  void Poll(const std::string& prefix, Revision after, std::int64_t until_ms,
+            StoreCallback<WatchAnswer> done) {
+    if (after < m_state.m_oldest_revision) {
+      done(Fail(ErrorCode::kConflict, "history_gone"));
+      return;
+    }
+    WatchAnswer answer;
+    for (const StoreEvent& event : m_state.m_events) {
+      if (event.m_item.m_revision > after &&
+          event.m_item.m_key.starts_with(prefix)) {
+        answer.m_events.push_back(event);
+      }
+    }
+    answer.m_store_revision = m_state.m_revision;
+    if (!answer.m_events.empty() || m_loop.Now().m_steady_ms >= until_ms) {
+      done(answer);
+      return;
+    }
+    m_loop.After(kPollMs, [this, prefix, after, until_ms,
+                           done = std::move(done)]() mutable {
+      Poll(prefix, after, until_ms, std::move(done));
+    });
+  }
+
+  FakeStoreState& m_state;
+  ManualLoop& m_loop;
+};
+
+static_assert(AsyncStore<FakeAsyncStore>);
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/owner_log_test.cc
@@ -0,0 +1,153 @@
+// The log under the store's faults.
+#include "cell/owner_log.h"
+
+#include <gtest/gtest.h>
+
+#include "cell/fake_async_store.h"
+
+namespace mustardslip {
+namespace {
+
+using Log = OwnerLog<FakeAsyncStore, ManualLoop>;
+
+class OwnerLogTest : public testing::Test {
+ protected:
+  OwnerLogTest() : m_store(m_state, m_loop) {}
+
+  // Another daemon takes the owner's record.
+  Revision TakeOwnership() {
+    m_state.Put(std::string(kOwnerKey), "owner");
+    return m_state.m_values.at(std::string(kOwnerKey)).m_revision;
+  }
+
+  // A log that was loaded under a new ownership.
+  std::unique_ptr<Log> LoadedLog() {
+    auto log = std::make_unique<Log>(m_store, m_loop);
+    log->OnSuperseded([this] { ++m_superseded; });
+    log->Load(TakeOwnership(),
+              [this](Log::Loaded loaded) { m_loaded = std::move(loaded); });
+    m_loop.Run(200);
+    return log;
+  }
+
+  static std::string Segment(const std::string& job) {
+    return EncodeRecords({JobCancelled{job, 1}});
+  }
+
+  std::vector<std::string> LoadedJobs() {
+    LoadedLog();
+    std::vector<std::string> jobs;
+    for (const LogRecord& record : m_loaded.m_records) {
+      if (const auto* cancelled = std::get_if<JobCancelled>(&record)) {
+        jobs.push_back(cancelled->m_job);
+      }
+    }
+    return jobs;
+  }
+
+  FakeStoreState m_state;
+  ManualLoop m_loop;
+  FakeAsyncStore m_store;
+  Log::Loaded m_loaded;
+  int m_superseded = 0;
+  int m_durable = 0;
+};
+
+using Fault = FakeAsyncStore::Fault;
+
+// Fails if pages are lost or read twice when the log is longer than one.
+TEST_F(OwnerLogTest, NextOwnerReadsAllSegmentsInOrder) {
+  const auto log = LoadedLog();
+  std::vector<std::string> written;
+  for (int i = 0; i < 10; ++i) {
+    written.push_back("job-" + std::to_string(i));
+    log->Append(Segment(written.back()), [this] { ++m_durable; });
+    m_loop.Run(50);
+  }
+  EXPECT_EQ(m_durable, 10);
+  EXPECT_EQ(LoadedJobs(), written);
+}
+
+// Fails if a lost answer is taken as a failed write, or the write is repeated
+// under another number.
+TEST_F(OwnerLogTest, LostAnswerIsResolvedByRepeating) {
+  const auto log = LoadedLog();
+  m_store.m_fault = Fault::kLoseAnswer;
+  log->Append(Segment("a"), [this] { ++m_durable; });
+  m_loop.Run(400);
+  EXPECT_EQ(m_durable, 0);
+  m_store.m_fault = Fault::kNone;
+  m_loop.Run(2'000);
+  EXPECT_EQ(m_durable, 1);
+  EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"a"});
+}
+
+// Fails if a superseded owner can still add to the log, at once or late.
+TEST_F(OwnerLogTest, SupersededOwnerAddsNothing) {
+  const auto old_log = LoadedLog();
+  m_store.m_fault = Fault::kLate;
+  old_log->Append(Segment("late"), [this] { ++m_durable; });
+  m_loop.Run(10);
+  m_store.m_fault = Fault::kNone;
+  const auto new_log = LoadedLog();
+  new_log->Append(Segment("new"), [] {});
+  m_loop.Run(10'000);
+  EXPECT_EQ(m_durable, 0);
+  EXPECT_EQ(m_superseded, 1);
+  EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"new"});
+}
+
+// Fails if a store that refuses is not noticed soon, or a slow start counts as
+// refusal.
+TEST_F(OwnerLogTest, RefusingStoreShowsAsStuck) {
+  const auto log = LoadedLog();
+  m_store.m_fault = Fault::kRefuse;
+  log->Append(Segment("a"), [this] { ++m_durable; });
+  m_loop.Run(100);
+  EXPECT_FALSE(log->Stuck());
+  m_loop.Run(400);
+  EXPECT_TRUE(log->Stuck());
+  m_store.m_fault = Fault::kNone;
+  m_loop.Run(1'000);
+  EXPECT_FALSE(log->Stuck());
+  EXPECT_EQ(m_durable, 1);
+}
+
+// Fails if an owner asks for a successor while the store is only slow.
+TEST_F(OwnerLogTest, SilentStoreIsNotStuckAtOnce) {
+  const auto log = LoadedLog();
+  m_store.m_fault = Fault::kSilent;
+  log->Append(Segment("a"), [this] { ++m_durable; });
+  m_loop.Run(900);
+  EXPECT_FALSE(log->Stuck());
+  m_loop.Run(400);
+  EXPECT_TRUE(log->Stuck());
+}
+
+// Fails if a snapshot drops segments that are not in it, or keeps those that
+// are for ever.
+TEST_F(OwnerLogTest, SnapshotReplacesTheSegmentsBeforeIt) {
+  const auto log = LoadedLog();
+  for (int i = 0; i < 5; ++i) {
+    log->Append(Segment("old-" + std::to_string(i)), [] {});
+    m_loop.Run(50);
+  }
+  log->WriteSnapshot({JobCancelled{"snapshot", 1}});
+  log->Append(Segment("after"), [] {});
+  m_loop.Run(500);
+  EXPECT_EQ(LoadedJobs(), (std::vector<std::string>{"snapshot", "after"}));
+  EXPECT_EQ(m_state.m_values.count(SegmentKey(1)), 0U);
+  EXPECT_EQ(m_state.m_values.count(SegmentKey(6)), 1U);
+}
+
+// Fails if a snapshot that was not finished replaces segments.
+TEST_F(OwnerLogTest, UnfinishedSnapshotIsIgnored) {
+  const auto log = LoadedLog();
+  log->Append(Segment("a"), [] {});
+  m_loop.Run(50);
+  m_state.Put(SnapshotKey(2, 0), EncodeRecords({JobCancelled{"half", 1}}));
+  EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"a"});
+}
+
+}  // namespace
+}  // namespace mustardslip
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -173,6 +173,8 @@
     if (!owner) {
       Log(LogLevel::kError, LogCategory::kMembership, "owner_record_unreadable",
           {{"revision", item.m_revision}});
+      // No process stands behind it; its revision is what a successor replaces.
+      m_known = OwnerRecord{"", "", item.m_revision};
       m_dead_revision = item.m_revision;
       BecomeCandidate(0);
       return;
--- /dev/null
+++ b/Source/Core/cell/ownership_test.cc
@@ -0,0 +1,201 @@
+// Who owns the cell, under the store's faults and with several daemons.
+#include "cell/ownership.h"
+
+#include <gtest/gtest.h>
+
+#include "cell/fake_async_store.h"
+
+namespace mustardslip {
+namespace {
+
+using Fault = FakeAsyncStore::Fault;
+
+// One daemon with its own path to the shared store.
+struct Daemon {
+  Daemon(FakeStoreState& state, ManualLoop& loop, const std::string& name)
+      : m_store(state, loop),
+        m_ownership(m_store, loop, Options(name),
+                    {[this](const OwnerRecord& owner) {
+                       m_fence = owner.m_revision;
+                       ++m_acquired;
+                     },
+                     [this] { ++m_lost; },
+                     [this](const std::optional<OwnerRecord>& owner) {
+                       m_seen = owner;
+                     }}) {}
+
+  static OwnershipOptions Options(const std::string& name) {
+    OwnershipOptions options;
+    options.m_instance = name;
+    options.m_address = name + ":1";
+    return options;
+  }
+
+  FakeAsyncStore m_store;
+  Ownership<FakeAsyncStore, ManualLoop> m_ownership;
+  Revision m_fence = 0;
+  int m_acquired = 0;
+  int m_lost = 0;
+  std::optional<OwnerRecord> m_seen;
+};
+
+class OwnershipTest : public testing::Test {
+ protected:
+  OwnershipTest() : m_a(m_state, m_loop, "a"), m_b(m_state, m_loop, "b") {}
+
+  void StartBoth() {
+    m_a.m_ownership.Start();
+    m_loop.Run(200);
+    m_b.m_ownership.Start();
+    m_loop.Run(200);
+  }
+
+  // The store notices that the owner is silent.
+  void EndLeaseOfOwner() {
+    m_state.EndLease(m_state.m_values.at(std::string(kOwnerKey)).m_lease);
+  }
+
+  FakeStoreState m_state;
+  ManualLoop m_loop;
+  Daemon m_a;
+  Daemon m_b;
+};
+
+// Fails if two daemons own the cell, or a second one takes a held record.
+TEST_F(OwnershipTest, OneDaemonOwnsAndTheOtherKnowsIt) {
+  StartBoth();
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+  EXPECT_FALSE(m_b.m_ownership.Owns());
+  ASSERT_TRUE(m_b.m_seen.has_value());
+  EXPECT_EQ(m_b.m_seen->m_instance, "a");
+}
+
+// Fails if the record of a silent owner is not taken, or its successor has no
+// higher fence.
+TEST_F(OwnershipTest, LapsedOwnerIsReplacedWithAHigherFence) {
+  StartBoth();
+  m_a.m_store.m_fault = Fault::kSilent;
+  EndLeaseOfOwner();
+  m_loop.Run(1'000);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+  EXPECT_GT(m_b.m_fence, m_a.m_fence);
+}
+
+// Fails if an owner goes on after it was replaced and reaches the store again.
+TEST_F(OwnershipTest, ReplacedOwnerStepsDown) {
+  StartBoth();
+  m_a.m_store.m_fault = Fault::kSilent;
+  EndLeaseOfOwner();
+  m_loop.Run(1'000);
+  m_a.m_store.m_fault = Fault::kNone;
+  m_loop.Run(5'000);
+  EXPECT_FALSE(m_a.m_ownership.Owns());
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+}
+
+// Fails if a dead owner is waited for although its process is known to be gone.
+TEST_F(OwnershipTest, DeadOwnerIsReplacedAtOnce) {
+  StartBoth();
+  m_a.m_store.m_fault = Fault::kSilent;
+  m_b.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_loop.Run(100);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+}
+
+// Fails if news of an earlier owner's death replaces the present one.
+TEST_F(OwnershipTest, StaleNewsOfADeathChangesNothing) {
+  StartBoth();
+  m_b.m_ownership.OnOwnerDead(m_a.m_fence - 1);
+  m_loop.Run(1'000);
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+  EXPECT_EQ(m_b.m_acquired, 0);
+}
+
+// Fails if a daemon does not notice that its own write of the record took
+// effect although the answer was lost.
+TEST_F(OwnershipTest, LostAnswerToTheTakeoverIsResolved) {
+  m_a.m_ownership.Start();
+  m_loop.Run(12);  // The lease is granted.
+  m_a.m_store.m_fault = Fault::kLoseAnswer;
+  m_loop.Run(700);
+  m_a.m_store.m_fault = Fault::kNone;
+  m_loop.Run(2'000);
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+  EXPECT_EQ(m_a.m_acquired, 1);
+}
+
+// Fails if an owner that asks for a successor loses the cell although the store
+// is down for all, or keeps it although others reach the store.
+TEST_F(OwnershipTest, YieldingOwnerIsReplacedOnlyByWhoReachesTheStore) {
+  StartBoth();
+  m_a.m_store.m_fault = Fault::kRefuse;
+  m_b.m_store.m_fault = Fault::kRefuse;
+  m_b.m_ownership.OnOwnerYields(m_a.m_fence);
+  m_loop.Run(2'000);
+  m_a.m_store.m_fault = Fault::kNone;
+  m_b.m_store.m_fault = Fault::kNone;
+  m_loop.Run(3'000);
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+  m_a.m_store.m_fault = Fault::kRefuse;
+  m_b.m_ownership.OnOwnerYields(m_a.m_fence);
+  m_loop.Run(500);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+}
+
+// Fails if a daemon that leaves holds the cell, or takes it again.
+TEST_F(OwnershipTest, LeavingDaemonHandsOver) {
+  StartBoth();
+  m_a.m_ownership.Resign();
+  m_loop.Run(500);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+  m_b.m_store.m_fault = Fault::kSilent;
+  EndLeaseOfOwner();
+  m_loop.Run(3'000);
+  EXPECT_FALSE(m_a.m_ownership.Owns());
+}
+
+// Fails if a record that no daemon can have written blocks the cell.
+TEST_F(OwnershipTest, UnreadableRecordIsReplaced) {
+  m_state.Put(std::string(kOwnerKey), "[1,2");
+  m_a.m_ownership.Start();
+  m_loop.Run(500);
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+}
+
+// Fails if a feed misses changes when the store drops its history.
+TEST(PrefixFeedTest, ListsAgainAfterDroppedHistory) {
+  FakeStoreState state;
+  ManualLoop loop;
+  FakeAsyncStore store(state, loop);
+  std::map<std::string, std::string> seen;
+  PrefixFeed<FakeAsyncStore, ManualLoop>::Handlers handlers;
+  handlers.m_on_item = [&](const StoreItem& item) {
+    seen[item.m_key] = item.m_value;
+  };
+  handlers.m_on_deleted = [&](const std::string& key) { seen.erase(key); };
+  handlers.m_on_listed = [&](const std::set<std::string>& keys) {
+    std::erase_if(
+        seen, [&](const auto& entry) { return keys.count(entry.first) == 0; });
+  };
+  PrefixFeed<FakeAsyncStore, ManualLoop> feed(store, loop, "p/", 500, handlers);
+  for (int i = 0; i < 5; ++i) {
+    state.Put("p/" + std::to_string(i), "old");
+  }
+  feed.Start();
+  loop.Run(200);
+  EXPECT_EQ(seen.size(), 5U);
+  store.m_fault = Fault::kSilent;
+  loop.Run(600);
+  state.Put("p/0", "new");
+  StoreTransaction removal;
+  removal.m_removals = {"p/1"};
+  state.Commit(removal);
+  state.DropHistory();
+  store.m_fault = Fault::kNone;
+  loop.Run(2'000);
+  EXPECT_EQ(seen.size(), 4U);
+  EXPECT_EQ(seen["p/0"], "new");
+}
+
+}  // namespace
+}  // namespace mustardslip
