Let waiting gangs ask about more VMs, and about as many as they need

Cause: a gang stopped asking once the advised VMs could have held it twice when empty, and refreshed at most 30 tickets.

Ruled out: too few calls for advice (the daemons were half idle), quotas.

Change: while the advised VMs have too little room now, more VMs are asked about; once they have enough, as many tickets are renewed as the gang needs. GangAsksAboutMoreVmsWhileTheAdvisedAreFull and WideGangStartsWhenItsTicketsRanOut failed before.

--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -310,6 +310,63 @@
   EXPECT_EQ(m_cell.RunningOf(1), 4U);
 }
 
+// Fails if a gang waits for room on the VMs that it was advised first, while
+// others have room that it was never advised about.
+TEST_F(CellCoreTest, GangAsksAboutMoreVmsWhileTheAdvisedAreFull) {
+  for (int i = 0; i < 4; ++i) {
+    m_cell.AddVm("vm-" + std::to_string(i), kVmRoom, {"v" + std::to_string(i)});
+  }
+  m_cell.Run(100);
+  const auto fill = [&](int job, std::int64_t cpu, const std::string& label) {
+    StepSpec step = CellHarness::Step(1, cpu);
+    step.m_required_label = label;
+    m_cell.Submit(m_cell.Job(job, {step}));
+  };
+  fill(1, 20'000, "v0");
+  fill(2, 20'000, "v1");
+  fill(3, 20'000, "v2");
+  fill(4, 40'000, "v3");
+  m_cell.Run(100);
+  QueueRules queue = m_cell.Queue("gangs");
+  queue.m_needs_advice = true;
+  queue.m_priority = 1;
+  StepSpec gang = CellHarness::Step(4, 32'000);
+  gang.m_gang = true;
+  m_cell.Submit(m_cell.Job(9, {gang}, queue));
+  m_cell.Run(300);
+  fill(5, 20'000, "v0");
+  fill(6, 20'000, "v3");
+  m_cell.End(4, RunEnd::kDone);
+  m_cell.Run(300);
+  ASSERT_EQ(m_cell.RunningOf(9), 0U);
+  m_cell.AddVm("vm-7", kVmRoom);
+  m_cell.AddVm("vm-8", kVmRoom);
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(9), 4U);
+}
+
+// Fails if a gang that needs more VMs than one usual call names never gets
+// tickets for all of them at once.
+TEST_F(CellCoreTest, WideGangStartsWhenItsTicketsRanOut) {
+  AddVms(80);
+  StepSpec filler = CellHarness::Step(25, 40'000);
+  filler.m_max_per_vm = 1;
+  m_cell.Submit(m_cell.Job(1, {filler}));
+  m_cell.Run(100);
+  QueueRules queue = m_cell.Queue();
+  queue.m_needs_advice = true;
+  queue.m_advice_base_ms = 400;
+  queue.m_advice_per_vm_ms = 5;
+  StepSpec gang = CellHarness::Step(60, 40'000);
+  gang.m_gang = true;
+  m_cell.Submit(m_cell.Job(2, {gang}, queue));
+  m_cell.Run(2'500);
+  ASSERT_EQ(m_cell.RunningOf(2), 0U);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.RunningOf(2), 60U);
+}
+
 // Fails if jobs that fail by their own fault take healthy VMs out of service.
 TEST_F(CellCoreTest, FailingJobsDoNotEmptyTheFleet) {
   AddVms(2);
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -29,8 +29,8 @@
 constexpr int kVmsPerGang = 24;
 // At most one in this many VMs of a pool is avoided.
 constexpr std::size_t kLargestAvoidedPart = 4;
-// Of the refreshed verdicts of a gang, this many VMs are named again.
-constexpr std::size_t kMostVmsRefreshed = 30;
+// For a gang.
+constexpr std::size_t kUsualVmsAsked = 24;
 
 std::int64_t FitCount(const Resources& task, const Resources& room) {
   std::int64_t fit = INT64_MAX;
@@ -487,59 +487,66 @@
     }
   }
 
-  // Keeps the tickets of advised VMs valid while the gang waits, and asks about
-  // more VMs while the advised ones could not hold it even if they were empty.
+  // Asks for tickets once the advised VMs have room for the gang, and about
+  // more VMs while they do not.
   void AskForGang(const Candidate& candidate, std::vector<Slot>& slots,
                   std::int64_t tasks) {
     if (!MayAsk(candidate)) {
       return;
     }
-    const QueueRules& queue = candidate.m_job->m_spec.m_queue;
-    const auto expected_ms = static_cast<std::int64_t>(
-        static_cast<double>(queue.m_advice_base_ms) +
-        queue.m_advice_per_vm_ms * static_cast<double>(kMostVmsRefreshed));
-    std::int64_t advised_room = 0;
-    std::int64_t free_room = 0;
-    bool expiring = false;
+    const auto advised = GangRoom(candidate, slots, [&](const Slot& slot) {
+      return MayRun(candidate, slot) && KnownGood(candidate, slot);
+    });
+    const std::int64_t missing = tasks - Total(advised);
     std::vector<std::string> vms;
-    for (const Slot& slot : slots) {
-      if (!KnownGood(candidate, slot) || !MayRun(candidate, slot)) {
-        continue;
-      }
-      advised_room += FitCount(ChargeOf(*candidate.m_spec),
-                               slot.m_vm->m_description.m_capacity);
-      free_room += Fit(candidate, slot);
-      expiring = expiring || !HasTicket(candidate, slot, expected_ms);
-      if (vms.size() < kMostVmsRefreshed) {
-        vms.push_back(slot.m_vm->Life().m_id);
-      }
-    }
-    const bool more = advised_room < 2 * tasks;
-    if (!more && (!expiring || free_room < tasks / 2)) {
-      return;
-    }
-    if (more) {
-      if (!expiring) {
-        vms.clear();
+    if (missing > 0) {
+      AddUnknownVms(candidate, slots, missing, vms);
+      if (vms.empty()) {
+        return;
       }
-      AddUnknownVms(candidate, slots, 2 * tasks - advised_room, vms);
     }
+    AddExpiring(candidate, advised, tasks, vms);
     if (!vms.empty()) {
       Ask(candidate, std::move(vms));
     }
   }
 
+  // Advised VMs whose tickets do not last as long as the next call, until the
+  // gang has a place on those with tickets.
+  void AddExpiring(const Candidate& candidate,
+                   const std::vector<std::pair<Slot*, std::int64_t>>& advised,
+                   std::int64_t tasks, std::vector<std::string>& vms) {
+    const QueueRules& queue = candidate.m_job->m_spec.m_queue;
+    const auto call_ms = static_cast<std::int64_t>(
+        static_cast<double>(queue.m_advice_base_ms) +
+        queue.m_advice_per_vm_ms * static_cast<double>(kUsualVmsAsked));
+    const double wanted = static_cast<double>(tasks) * kAskSurplus;
+    double expected = 0;
+    for (const auto& [slot, fit] : advised) {
+      if (expected >= wanted || vms.size() >= kMostVmsAsked) {
+        return;
+      }
+      expected += static_cast<double>(fit);
+      if (!HasTicket(candidate, *slot, call_ms)) {
+        vms.push_back(slot->m_vm->Life().m_id);
+      }
+    }
+  }
+
+  // VMs without a verdict, those with the most room first. A call has a large
+  // fixed part, so it names a fair number also where few would do.
   void AddUnknownVms(const Candidate& candidate, std::vector<Slot>& slots,
                      std::int64_t tasks, std::vector<std::string>& vms) {
     const double share =
         m_scheduler.GoodShare(candidate.m_job->m_spec.m_queue.m_name);
-    auto room = GangRoom(candidate, slots, [&](const Slot& slot) {
+    const auto room = GangRoom(candidate, slots, [&](const Slot& slot) {
       return MayRun(candidate, slot) && AdviceFor(candidate, slot) == nullptr;
     });
+    const double wanted = static_cast<double>(tasks) * kAskSurplus;
     double expected = 0;
     for (const auto& [slot, fit] : room) {
-      if (expected >= static_cast<double>(tasks) ||
-          vms.size() >= kMostVmsAsked) {
+      const bool enough = expected >= wanted && vms.size() >= kUsualVmsAsked;
+      if (enough || vms.size() >= kMostVmsAsked) {
         break;
       }
       expected += static_cast<double>(fit) * share;
