--- /dev/null
+++ b/Source/Core/cell/cell_metrics.cc
@@ -0,0 +1,90 @@
+// Names and labels of a cell's metrics.
+#include "cell/cell_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <string_view>
+
+namespace mustardslip {
+namespace {
+
+constexpr std::array<std::string_view, 4> kMethods = {"submit", "cancel",
+                                                      "lookup", "count"};
+constexpr std::array<std::string_view, 6> kOutcomes = {
+    "accepted", "phase", "count", "gone", "refused", "unknown"};
+
+// Seconds; from one hop between zones to the usual time limit of a client.
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3};
+  return buckets;
+}
+
+std::string MethodName(CellMethod method) {
+  return std::string(kMethods.at(static_cast<std::size_t>(method)));
+}
+
+}  // namespace
+
+CellMetrics::CellMetrics()
+    : m_requests(prometheus::BuildCounter()
+                     .Name("mustardslip_cell_requests_total")
+                     .Help("Requests of callers by method and outcome")
+                     .Register(m_registry)),
+      m_latency(prometheus::BuildHistogram()
+                    .Name("mustardslip_cell_request_seconds")
+                    .Help("Time to the answer by method")
+                    .Register(m_registry)),
+      m_ends(prometheus::BuildGauge()
+                 .Name("mustardslip_cell_runs_ended")
+                 .Help("Ends of runs since this daemon owns the cell, by kind")
+                 .Register(m_registry)),
+      m_values(prometheus::BuildGauge()
+                   .Name("mustardslip_cell_state")
+                   .Help("State of this daemon, by name")
+                   .Register(m_registry)) {}
+
+void CellMetrics::OnAnswer(CellMethod method, CellOutcome outcome,
+                           std::int64_t ms) {
+  constexpr double kMsPerSecond = 1'000;
+  const std::string name = MethodName(method);
+  const std::string result(kOutcomes.at(static_cast<std::size_t>(outcome)));
+  m_requests.Add({{"method", name}, {"outcome", result}}).Increment();
+  m_latency.Add({{"method", name}}, LatencyBuckets())
+      .Observe(static_cast<double>(ms) / kMsPerSecond);
+}
+
+void CellMetrics::Update(const CellCore* core, std::uint64_t store_calls,
+                         std::uint64_t connections_opened,
+                         std::int64_t configuration) {
+  const auto set = [this](const char* name, double value) {
+    m_values.Add({{"name", name}}).Set(value);
+  };
+  set("owns_cell", core == nullptr ? 0 : 1);
+  set("store_calls", static_cast<double>(store_calls));
+  set("connections_to_vms_opened", static_cast<double>(connections_opened));
+  set("configuration_version", static_cast<double>(configuration));
+  if (core == nullptr) {
+    return;
+  }
+  const CellCounters& counters = core->Counters();
+  set("jobs_accepted", static_cast<double>(counters.m_accepted));
+  set("jobs_refused", static_cast<double>(counters.m_refused));
+  set("starts", static_cast<double>(counters.m_starts));
+  set("starts_not_begun", static_cast<double>(counters.m_not_begun));
+  set("advice_calls", static_cast<double>(counters.m_asks));
+  set("scheduling_passes", static_cast<double>(counters.m_passes));
+  set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
+  set("steps_waiting", static_cast<double>(core->Ready().size()));
+  for (const auto& [end, count] : counters.m_ends) {
+    m_ends.Add({{"how", std::string(ToString(end))}})
+        .Set(static_cast<double>(count));
+  }
+}
+
+std::string CellMetrics::Exposition() const {
+  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/cell_metrics.h
@@ -0,0 +1,39 @@
+// The metrics of one daemon of a cell, for prometheus-cpp's text format.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <string>
+
+#include "cell/cell_core.h"
+#include "cell/cell_request.h"
+
+namespace mustardslip {
+
+class CellMetrics {
+ public:
+  CellMetrics();
+
+  // A request of a caller was answered after `ms` milliseconds.
+  void OnAnswer(CellMethod method, CellOutcome outcome, std::int64_t ms);
+  // What the owner counted so far; `core` is null in a daemon that owns no
+  // cell.
+  void Update(const CellCore* core, std::uint64_t store_calls,
+              std::uint64_t connections_opened, std::int64_t configuration);
+
+  // The body of GET /metrics (content type "text/plain; version=0.0.4").
+  std::string Exposition() const;
+
+ private:
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Family<prometheus::Histogram>& m_latency;
+  prometheus::Family<prometheus::Gauge>& m_ends;
+  prometheus::Family<prometheus::Gauge>& m_values;
+};
+
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -302,7 +302,7 @@
 
   void CarryOut() {
     for (Effect& effect : m_core.TakeEffects()) {
-      std::visit([this](auto& one) { Do(one); }, effect);
+      std::visit([this](auto& one) { this->Do(one); }, effect);
     }
   }
 
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -257,9 +257,7 @@
  public:
   Implementation(Reactor& reactor, const Endpoint& endpoint,
                  EventHttpLimits limits, Handler handler)
-      : m_reactor(reactor),
-        m_handler(std::move(handler)),
-        m_alive(std::make_shared<bool>(true)) {
+      : m_handler(std::move(handler)), m_alive(std::make_shared<bool>(true)) {
     m_server = evhttp_new(reactor.Base());
     Invariant(m_server != nullptr, "evhttp gave no server");
     evhttp_set_max_headers_size(m_server,
@@ -335,7 +333,6 @@
     evbuffer_free(body);
   }
 
-  Reactor& m_reactor;
   Handler m_handler;
   std::shared_ptr<bool> m_alive;
   evhttp* m_server = nullptr;
--- a/Tools/fault_test.sh
+++ b/Tools/fault_test.sh
@@ -11,10 +11,9 @@
   scale=5
   shift
 fi
-if [ ! -x build/Source/Daemon/mustardslipd ]; then
-  cmake -S . -B build -G Ninja >/dev/null
-  cmake --build build
-fi
+Tools/install_packages.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build --target mustardslipd mustardslip load_client journal_check standin_store standin_vm_list standin_worker
 
 PORT_BASE=${PORT_BASE:-18000}
 source Tools/cluster.sh
