--- a/Source/Core/cell/cell_entry.h
+++ b/Source/Core/cell/cell_entry.h
@@ -15,6 +15,7 @@
 
 #include "cell/cell_request.h"
 #include "cell/timer_loop.h"
+#include "common/logger.h"
 
 namespace mustardslip {
 
@@ -139,6 +140,10 @@
     answer.m_outcome = CellOutcome::kUnknown;
     answer.m_reason = Connected() ? "no_answer_in_time" : "no_owner";
     answer.m_retry_after_ms = kRetryMs;
+    Log(LogLevel::kInfo, LogCategory::kCell, "request_given_up",
+        {{"job", m_open.at(number).m_request.m_job},
+         {"reason", answer.m_reason},
+         {"sent_to_owner", m_open.at(number).m_sent}});
     OnAnswer(number, std::move(answer));
   }
 
--- a/Source/Core/cell/prefix_feed.h
+++ b/Source/Core/cell/prefix_feed.h
@@ -15,6 +15,7 @@
 
 #include "cell/async_store.h"
 #include "cell/timer_loop.h"
+#include "common/logger.h"
 
 namespace mustardslip {
 
@@ -65,7 +66,7 @@
   void ListPage(const std::string& after) {
     m_store.List(m_prefix, after, Guard<ItemPage>([this](auto page) {
                    if (!page) {
-                     RetryLater([this] { List(); });
+                     OnFailure(page.error());
                      return;
                    }
                    OnPage(*page);
@@ -101,7 +102,7 @@
                     if (!answer) {
                       // The watch may have missed events, or its history is
                       // gone.
-                      RetryLater([this] { List(); });
+                      OnFailure(answer.error());
                       return;
                     }
                     OnEvents(*answer);
@@ -122,7 +123,21 @@
     m_revision = std::max(m_revision, answer.m_store_revision);
   }
 
+  void OnFailure(const Error& error) {
+    if (!m_failing) {
+      m_failing = true;
+      Log(LogLevel::kWarning, LogCategory::kStore, "store_lost",
+          {{"prefix", m_prefix}, {"reason", error.Reason()}});
+    }
+    RetryLater([this] { List(); });
+  }
+
   void Fresh(std::int64_t sent_ms) {
+    if (m_failing) {
+      m_failing = false;
+      Log(LogLevel::kInfo, LogCategory::kStore, "store_regained",
+          {{"prefix", m_prefix}, {"revision", m_revision}});
+    }
     if (m_handlers.m_on_fresh) {
       m_handlers.m_on_fresh(sent_ms);
     }
@@ -159,6 +174,7 @@
   Revision m_list_revision = 0;
   Revision m_revision = 0;
   std::int64_t m_retry_ms = kFirstRetryMs;
+  bool m_failing = false;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/vm_holder.h
+++ b/Source/Core/cell/vm_holder.h
@@ -11,6 +11,7 @@
 #include "cell/cell_core.h"
 #include "cell/cell_platform.h"
 #include "cell/timer_loop.h"
+#include "common/logger.h"
 
 namespace mustardslip {
 
@@ -109,12 +110,24 @@
       // The next call comes at once if this one could not renew the lease.
       const bool first = vm != nullptr && !vm->m_clock.Known();
       call.m_next_ms = first ? 0 : call.m_sent_ms + kGapMs;
+      if (vm != nullptr && vm->m_first_failed_call_ms != 0) {
+        Log(LogLevel::kInfo, LogCategory::kCell, "vm_regained",
+            {{"vm", life.m_id},
+             {"silent_ms", now.m_steady_ms - vm->m_first_failed_call_ms}});
+      }
       m_core.OnVmReport(*report, now);
     } else if (report.error().Code() == ErrorCode::kStaleEpoch) {
       m_handlers.m_on_superseded();
       return;
     } else {
       call.m_next_ms = now.m_steady_ms + kGapAfterFailureMs;
+      if (vm != nullptr && vm->m_first_failed_call_ms == 0) {
+        Log(LogLevel::kWarning, LogCategory::kCell, "vm_silent",
+            {{"vm", life.m_id},
+             {"born", life.m_born},
+             {"reason", report.error().Reason()},
+             {"open_runs", vm->m_open.size()}});
+      }
       m_core.OnVmSilent(life, now);
     }
     m_handlers.m_on_event();
