--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -291,14 +291,30 @@
     static_cast<Implementation*>(context)->Handle(request);
   }
 
+  static void ReadQuery(const char* text, HttpRequest& request) {
+    evkeyvalq fields;
+    if (evhttp_parse_query_str(text, &fields) != 0) {
+      return;
+    }
+    for (const evkeyval* one = fields.tqh_first; one != nullptr;
+         one = one->next.tqe_next) {
+      request.m_query[LowerCase(one->key)] = one->value;
+    }
+    evhttp_clear_headers(&fields);
+  }
+
   void Handle(evhttp_request* raw) {
     HttpRequest request;
     request.m_method = MethodName(evhttp_request_get_command(raw));
     const char* target = evhttp_request_get_uri(raw);
-    // The path stays percent-encoded, and the query is not used.
+    // The path stays percent-encoded.
     request.m_path = target == nullptr ? "" : target;
-    request.m_path.erase(
-        std::min(request.m_path.find('?'), request.m_path.size()));
+    const std::size_t question =
+        std::min(request.m_path.find('?'), request.m_path.size());
+    if (question < request.m_path.size()) {
+      ReadQuery(request.m_path.c_str() + question + 1, request);
+    }
+    request.m_path.erase(question);
     evkeyvalq* headers = evhttp_request_get_input_headers(raw);
     for (const evkeyval* one = headers->tqh_first; one != nullptr;
          one = one->next.tqe_next) {
