Count a job as waiting until a VM took a start; skip idle scheduling passes

Change: a job waits until a VM confirmed a run. Passes without ready steps and sorts without avoided VMs are skipped. PlannedStartDoesNotEndTheWait guards it.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -28,6 +28,8 @@
   m_state.TakeChangedJobs();
   for (auto& [id, job] : m_state.Jobs()) {
     job->m_shown = job->Phase();
+    // A run that is open was confirmed by its VM, or will be in a moment.
+    job->m_confirmed = job->m_begun;
   }
   for (auto& [life, vm] : m_state.Vms()) {
     vm.m_durable_end = vm.m_last_end;
@@ -131,7 +133,7 @@
   CellAnswer answer;
   answer.m_outcome = CellOutcome::kCount;
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    const bool waiting = job->m_shown && !job->m_begun && !job->Ended();
+    const bool waiting = job->m_shown && !job->m_confirmed && !job->Ended();
     if (waiting && job->m_spec.m_queue.m_name == queue) {
       ++answer.m_count;
     }
@@ -350,6 +352,9 @@
     Gate(StopJob{task.m_job});
     return;
   }
+  if (end != RunEnd::kNotBegun) {
+    job->m_confirmed = true;
+  }
   const bool gang = job->m_spec.m_steps[task.m_step].m_gang;
   if (gang && end != RunEnd::kDone) {
     StopGangRun(task, run, now);
@@ -475,7 +480,7 @@
 
 void CellCore::Schedule(const CellTime& now, std::size_t free_asks) {
   // Nothing is planned that could not be written: a plan takes room.
-  if (!m_dirty || !m_store_writable) {
+  if (!m_dirty || !m_store_writable || m_ready.empty()) {
     return;
   }
   m_dirty = false;
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -367,6 +367,18 @@
   EXPECT_EQ(m_cell.RunningOf(2), 60U);
 }
 
+// Fails if a job counts as begun although no VM took its start.
+TEST_F(CellCoreTest, PlannedStartDoesNotEndTheWait) {
+  AddVms(1);
+  m_cell.Vm("vm-0").m_answers_starts = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.m_starts.size(), 1U);
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  m_cell.Run(100);  // The VM lists the run.
+  EXPECT_EQ(m_cell.CountWaiting(), 0U);
+}
+
 // Fails if jobs that fail by their own fault take healthy VMs out of service.
 TEST_F(CellCoreTest, FailingJobsDoNotEmptyTheFleet) {
   AddVms(2);
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -102,6 +102,7 @@
     if (run->m_phase == RunPhase::kPlanned) {
       run->m_phase = RunPhase::kRunning;
       run->m_listed_after_vm_ms = report.m_vm_ms;
+      m_state.FindJob(listed.m_task.m_job)->m_confirmed = true;
     }
     if (!listed.m_checkpoint.empty()) {
       StepState& step = *m_state.FindStep(listed.m_task);
@@ -207,6 +208,7 @@
       if (run->m_phase == RunPhase::kPlanned) {
         run->m_phase = RunPhase::kRunning;
         run->m_listed_after_vm_ms = answer.m_vm_ms;
+        m_state.FindJob(answer.m_task.m_job)->m_confirmed = true;
       }
       return;
     case StartOutcome::kUnknown:
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -116,6 +116,11 @@
     CarryOut();
     return m_answers.at(m_token);
   }
+  std::uint64_t CountWaiting() {
+    m_core->CountWaiting(++m_token, "queue");
+    CarryOut();
+    return m_answers.at(m_token).m_count;
+  }
   void Cancel(int number) {
     m_core->Cancel(++m_token, "queue", Id(number), Now());
   }
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -107,6 +107,9 @@
   std::map<std::uint32_t, Occurrence> m_occurrences;
   std::uint32_t m_done_occurrences = 0;
   bool m_begun = false;
+  // Volatile: a VM confirmed a run. A planned start that no VM took does not
+  // end the wait of a job.
+  bool m_confirmed = false;
   bool m_cancelled = false;
   bool m_failed = false;
   bool m_complete = false;
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -128,6 +128,9 @@
     const auto avoided = [this](const Slot& slot) {
       return slot.m_vm->m_avoid_until_ms > m_now.m_steady_ms;
     };
+    if (std::none_of(slots.begin(), slots.end(), avoided)) {
+      return;
+    }
     const std::size_t most =
         std::max<std::size_t>(1, slots.size() / kLargestAvoidedPart);
     std::stable_sort(slots.begin(), slots.end(),
