--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -345,9 +345,6 @@
   if (VmState* state = m_state.FindVm(vm)) {
     CountVmHealth(*state, *job, end, now);
   }
-  if (TaskState* state = m_state.FindTask(task)) {
-    state->m_idle_since_ms = now.m_steady_ms;
-  }
   if (job->Ended()) {
     Gate(StopJob{task.m_job});
     return;
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -152,7 +152,7 @@
   void StopGangRun(const TaskRef& task, std::uint32_t run, const CellTime& now);
   void SendStop(const TaskRef& task, OpenRun& run, const CellTime& now);
   void ReadEnds(VmState& vm, const VmReport& report, const CellTime& now);
-  void ReadRunning(VmState& vm, const VmReport& report, const CellTime& now);
+  void ReadRunning(VmState& vm, const VmReport& report);
   void CloseUnlistedRuns(VmState& vm, const VmReport& report,
                          const CellTime& now);
   void LoseRuns(VmState& vm, const CellTime& now);
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -72,7 +72,7 @@
   vm->m_first_failed_call_ms = 0;
   vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
   ReadEnds(*vm, report, now);
-  ReadRunning(*vm, report, now);
+  ReadRunning(*vm, report);
   CloseUnlistedRuns(*vm, report, now);
 }
 
@@ -86,8 +86,7 @@
   }
 }
 
-void CellCore::ReadRunning(VmState& vm, const VmReport& report,
-                           const CellTime& now) {
+void CellCore::ReadRunning(VmState& vm, const VmReport& report) {
   for (const ListedRun& listed : report.m_running) {
     OpenRun* run = m_state.FindRun(listed.m_task, listed.m_run);
     const bool ours = run != nullptr && run->m_vm == vm.Life();
@@ -113,7 +112,6 @@
       task.m_checkpoint = listed.m_checkpoint;
     }
   }
-  (void)now;
 }
 
 // A run that the VM should know and names in neither list never began, or its
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -127,6 +127,9 @@
     }
   }
 
+  // The store confirmed the ownership by a renewal that was sent at this time.
+  void OnRenewed(std::int64_t sent_ms) { m_renewed_ms = sent_ms; }
+
   // Nothing is in flight towards the store: the cell can be given up without
   // leaving callers in doubt.
   bool Idle() const { return !m_log.Writing() && !m_core.HasOpenBatch(); }
@@ -231,11 +234,6 @@
     Later(kTickMs, [this] { Tick(); });
   }
 
- public:
-  // The store confirmed the ownership by a renewal that was sent at this time.
-  void OnRenewed(std::int64_t sent_ms) { m_renewed_ms = sent_ms; }
-
- private:
   void PumpSoon() {
     if (m_pump_pending || !m_ready) {
       return;
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -51,8 +51,6 @@
   std::vector<OpenRun> m_open;
   // Volatile: VMs where the last run failed, to be avoided by the next.
   std::string m_last_failed_vm;
-  // Volatile: owner's steady clock, when the last run ended.
-  std::int64_t m_idle_since_ms = 0;
 };
 
 // What the advice service said about one VM for one step. The verdict holds for
