Let one guard and one charge serve where copies stood

Cause: reading the diff, the log, the ownership and the feed each had the same guard against callbacks after their end, and state and scheduler each computed what a run takes from its VM.

Change: CallbackGuard and StepSpec::Charge; behaviour is the same.

--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -4,20 +4,6 @@
 #include <algorithm>
 
 namespace mustardslip {
-namespace {
-
-// What a run takes from a VM: a step that fills idle processors takes memory
-// and accelerators only.
-Resources ChargeOf(const StepSpec& step) {
-  Resources charge = step.m_resources;
-  if (step.m_fills_idle) {
-    charge.m_cpu_millis = 0;
-  }
-  return charge;
-}
-
-}  // namespace
-
 void CellState::Apply(const LogRecord& record) {
   std::visit([this](const auto& one) { ApplyOne(one); }, record);
 }
@@ -136,7 +122,7 @@
   ++job->m_open_runs;
   job->m_begun = true;
 
-  const Resources charge = ChargeOf(job->m_spec.m_steps[record.m_task.m_step]);
+  const Resources charge = job->m_spec.m_steps[record.m_task.m_step].Charge();
   VmState& vm = VmOf(record.m_vm);
   vm.m_open[{record.m_task, record.m_run}] = charge;
   vm.m_used = vm.m_used + charge;
--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "cell/async_store.h"
+#include "cell/callback_guard.h"
 #include "cell/log_record.h"
 #include "cell/timer_loop.h"
 #include "common/logger.h"
@@ -47,9 +48,7 @@
     std::size_t m_segments = 0;
   };
 
-  OwnerLog(Store& store, Loop& loop)
-      : m_store(store), m_loop(loop), m_alive(std::make_shared<bool>(true)) {}
-  ~OwnerLog() { *m_alive = false; }
+  OwnerLog(Store& store, Loop& loop) : m_store(store), m_loop(loop) {}
 
   OwnerLog(const OwnerLog&) = delete;
   OwnerLog& operator=(const OwnerLog&) = delete;
@@ -155,24 +154,24 @@
   }
 
   void LoadPage(const std::string& prefix, const std::string& after) {
-    m_store.List(prefix, after, Guard<ItemPage>([this, prefix](auto page) {
-                   if (!page) {
-                     Later(kRetryMs, [this] { RestartLoad(); });
-                     return;
-                   }
-                   auto& items = prefix == kLogPrefix ? m_loading_segments
-                                                      : m_loading_snapshots;
-                   for (StoreItem& item : page->m_items) {
-                     items.push_back(std::move(item));
-                   }
-                   if (page->m_more && !page->m_items.empty()) {
-                     LoadPage(prefix, items.back().m_key);
-                   } else if (prefix == kSnapshotPrefix) {
-                     LoadPage(std::string(kLogPrefix), "");
-                   } else {
-                     FinishLoad();
-                   }
-                 }));
+    m_store.List(prefix, after, m_guard.Wrap([this, prefix](auto page) {
+      if (!page) {
+        Later(kRetryMs, [this] { RestartLoad(); });
+        return;
+      }
+      auto& items =
+          prefix == kLogPrefix ? m_loading_segments : m_loading_snapshots;
+      for (StoreItem& item : page->m_items) {
+        items.push_back(std::move(item));
+      }
+      if (page->m_more && !page->m_items.empty()) {
+        LoadPage(prefix, items.back().m_key);
+      } else if (prefix == kSnapshotPrefix) {
+        LoadPage(std::string(kLogPrefix), "");
+      } else {
+        FinishLoad();
+      }
+    }));
   }
 
   void FinishLoad() {
@@ -242,7 +241,7 @@
   void Try() {
     const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
     m_store.Commit(m_transaction, Timeout(),
-                   Guard<CommitAnswer>([this, sent_ms](auto answer) {
+                   m_guard.Wrap([this, sent_ms](auto answer) {
                      OnCommit(std::move(answer), sent_ms);
                    }));
   }
@@ -288,8 +287,7 @@
   }
 
   void Superseded() {
-    *m_alive = false;
-    m_alive = std::make_shared<bool>(true);
+    m_guard.DropAll();
     if (m_on_superseded) {
       m_on_superseded();
     }
@@ -311,7 +309,7 @@
            snapshot->m_parts[snapshot->m_next_part], 0}};
     }
     m_store.Commit(transaction, kMostTimeoutMs,
-                   Guard<CommitAnswer>([this, snapshot, last](auto answer) {
+                   m_guard.Wrap([this, snapshot, last](auto answer) {
                      if (!answer) {
                        Later(kRetryMs,
                              [this, snapshot] { WritePart(snapshot); });
@@ -345,42 +343,29 @@
     transaction.m_removals.assign(
         m_old_keys.begin(),
         m_old_keys.begin() + static_cast<std::ptrdiff_t>(count));
-    m_store.Commit(transaction, kMostTimeoutMs,
-                   Guard<CommitAnswer>([this, count](auto answer) {
-                     if (!answer) {
-                       Later(kMostTimeoutMs, [this] { RemoveOldKeys(); });
-                       return;
-                     }
-                     if (!answer->m_committed) {
-                       return;  // The next write finds the new owner.
-                     }
-                     m_old_keys.erase(m_old_keys.begin(),
-                                      m_old_keys.begin() +
-                                          static_cast<std::ptrdiff_t>(count));
-                     RemoveOldKeys();
-                   }));
+    m_store.Commit(
+        transaction, kMostTimeoutMs, m_guard.Wrap([this, count](auto answer) {
+          if (!answer) {
+            Later(kMostTimeoutMs, [this] { RemoveOldKeys(); });
+            return;
+          }
+          if (!answer->m_committed) {
+            return;  // The next write finds the new owner.
+          }
+          m_old_keys.erase(
+              m_old_keys.begin(),
+              m_old_keys.begin() + static_cast<std::ptrdiff_t>(count));
+          RemoveOldKeys();
+        }));
   }
 
   void Later(std::int64_t ms, std::function<void()> task) {
-    m_loop.After(ms, [alive = m_alive, task = std::move(task)] {
-      if (*alive) {
-        task();
-      }
-    });
-  }
-
-  template <typename T, typename Handler>
-  StoreCallback<T> Guard(Handler handler) {
-    return [alive = m_alive, handler = std::move(handler)](Result<T> result) {
-      if (*alive) {
-        handler(std::move(result));
-      }
-    };
+    m_loop.After(ms, m_guard.Wrap(std::move(task)));
   }
 
   Store& m_store;
   Loop& m_loop;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   std::function<void()> m_on_superseded;
 
   Revision m_owner_revision = 0;
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "cell/async_store.h"
+#include "cell/callback_guard.h"
 #include "cell/owner_log.h"
 #include "cell/prefix_feed.h"
 #include "cell/timer_loop.h"
@@ -80,11 +81,8 @@
         m_loop(loop),
         m_options(std::move(options)),
         m_handlers(std::move(handlers)),
-        m_alive(std::make_shared<bool>(true)),
         m_feed(store, loop, std::string(kOwnerKey), kWatchMs, FeedHandlers()) {}
 
-  ~Ownership() { *m_alive = false; }
-
   Ownership(const Ownership&) = delete;
   Ownership& operator=(const Ownership&) = delete;
 
@@ -235,15 +233,15 @@
       EndCandidacy();
       return;
     }
-    m_store.GrantLease(m_options.m_lease_ms, Guard<LeaseId>([this](auto lease) {
-                         if (!lease) {
-                           Later(kRetryMs, [this] { Grant(); });
-                           return;
-                         }
-                         m_lease = *lease;
-                         m_confirmed_ms = m_loop.Now().m_steady_ms;
-                         Write();
-                       }));
+    m_store.GrantLease(m_options.m_lease_ms, m_guard.Wrap([this](auto lease) {
+      if (!lease) {
+        Later(kRetryMs, [this] { Grant(); });
+        return;
+      }
+      m_lease = *lease;
+      m_confirmed_ms = m_loop.Now().m_steady_ms;
+      Write();
+    }));
   }
 
   void Write() {
@@ -257,9 +255,9 @@
     transaction.m_puts = {
         {std::string(kOwnerKey),
          EncodeOwner({m_options.m_instance, m_options.m_address, 0}), m_lease}};
-    m_store.Commit(transaction, kCommitTimeoutMs,
-                   Guard<CommitAnswer>(
-                       [this](auto answer) { OnWritten(std::move(answer)); }));
+    m_store.Commit(
+        transaction, kCommitTimeoutMs,
+        m_guard.Wrap([this](auto answer) { OnWritten(std::move(answer)); }));
   }
 
   void OnWritten(Result<CommitAnswer> answer) {
@@ -309,22 +307,21 @@
       return;
     }
     const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
-    m_store.KeepLease(
-        lease, Guard<bool>([this, lease, sent_ms](auto kept) {
-          if (!m_owned || lease != m_lease) {
-            return;
-          }
-          if (kept) {
-            m_confirmed_ms = sent_ms;
-          } else if (kept.error().Code() == ErrorCode::kNotFound) {
-            m_lease = 0;
-            Lose("lease_ended");
-            return;
-          }
-          const std::int64_t wait_ms =
-              kept ? m_options.m_lease_ms / kRenewalsPerLease : kRetryMs;
-          Later(wait_ms, [this, lease] { Renew(lease); });
-        }));
+    m_store.KeepLease(lease, m_guard.Wrap([this, lease, sent_ms](auto kept) {
+      if (!m_owned || lease != m_lease) {
+        return;
+      }
+      if (kept) {
+        m_confirmed_ms = sent_ms;
+      } else if (kept.error().Code() == ErrorCode::kNotFound) {
+        m_lease = 0;
+        Lose("lease_ended");
+        return;
+      }
+      const std::int64_t wait_ms =
+          kept ? m_options.m_lease_ms / kRenewalsPerLease : kRetryMs;
+      Later(wait_ms, [this, lease] { Renew(lease); });
+    }));
   }
 
   void Lose(const char* reason) {
@@ -349,27 +346,14 @@
   }
 
   void Later(std::int64_t ms, std::function<void()> task) {
-    m_loop.After(ms, [alive = m_alive, task = std::move(task)] {
-      if (*alive) {
-        task();
-      }
-    });
-  }
-
-  template <typename T, typename Handler>
-  StoreCallback<T> Guard(Handler handler) {
-    return [alive = m_alive, handler = std::move(handler)](Result<T> result) {
-      if (*alive) {
-        handler(std::move(result));
-      }
-    };
+    m_loop.After(ms, m_guard.Wrap(std::move(task)));
   }
 
   Store& m_store;
   Loop& m_loop;
   const OwnershipOptions m_options;
   const Handlers m_handlers;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   std::optional<OwnerRecord> m_owned;
   // The record in the store, as far as known.
   std::optional<OwnerRecord> m_known;
--- a/Source/Core/cell/prefix_feed.h
+++ b/Source/Core/cell/prefix_feed.h
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "cell/async_store.h"
+#include "cell/callback_guard.h"
 #include "cell/timer_loop.h"
 #include "common/logger.h"
 
@@ -42,10 +43,7 @@
         m_loop(loop),
         m_prefix(std::move(prefix)),
         m_watch_wait_ms(watch_wait_ms),
-        m_handlers(std::move(handlers)),
-        m_alive(std::make_shared<bool>(true)) {}
-
-  ~PrefixFeed() { *m_alive = false; }
+        m_handlers(std::move(handlers)) {}
 
   PrefixFeed(const PrefixFeed&) = delete;
   PrefixFeed& operator=(const PrefixFeed&) = delete;
@@ -64,13 +62,13 @@
   }
 
   void ListPage(const std::string& after) {
-    m_store.List(m_prefix, after, Guard<ItemPage>([this](auto page) {
-                   if (!page) {
-                     OnFailure(page.error());
-                     return;
-                   }
-                   OnPage(*page);
-                 }));
+    m_store.List(m_prefix, after, m_guard.Wrap([this](auto page) {
+      if (!page) {
+        OnFailure(page.error());
+        return;
+      }
+      OnPage(*page);
+    }));
   }
 
   void OnPage(const ItemPage& page) {
@@ -98,7 +96,7 @@
   void Watch() {
     const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
     m_store.Watch(m_prefix, m_revision, m_watch_wait_ms,
-                  Guard<WatchAnswer>([this, sent_ms](auto answer) {
+                  m_guard.Wrap([this, sent_ms](auto answer) {
                     if (!answer) {
                       // The watch may have missed events, or its history is
                       // gone.
@@ -146,21 +144,7 @@
   void RetryLater(std::function<void()> task) {
     const std::int64_t wait_ms = m_retry_ms;
     m_retry_ms = std::min(m_retry_ms * 2, kLastRetryMs);
-    m_loop.After(wait_ms, [alive = m_alive, task = std::move(task)] {
-      if (*alive) {
-        task();
-      }
-    });
-  }
-
-  // Drops answers that come after the feed is gone.
-  template <typename T, typename Handler>
-  StoreCallback<T> Guard(Handler handler) {
-    return [alive = m_alive, handler = std::move(handler)](Result<T> result) {
-      if (*alive) {
-        handler(std::move(result));
-      }
-    };
+    m_loop.After(wait_ms, m_guard.Wrap(std::move(task)));
   }
 
   Store& m_store;
@@ -168,7 +152,7 @@
   const std::string m_prefix;
   const std::int64_t m_watch_wait_ms;
   const Handlers m_handlers;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   std::set<std::string> m_listed;
   std::int64_t m_list_sent_ms = 0;
   Revision m_list_revision = 0;
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -45,14 +45,6 @@
   return fit;
 }
 
-Resources ChargeOf(const StepSpec& step) {
-  Resources charge = step.m_resources;
-  if (step.m_fills_idle) {
-    charge.m_cpu_millis = 0;
-  }
-  return charge;
-}
-
 // The cap with "no limit" made explicit.
 Resources Unlimited(const Resources& cap) {
   const auto open = [](std::int64_t value) {
@@ -212,7 +204,7 @@
   }
 
   std::int64_t Fit(const Candidate& candidate, const Slot& slot) const {
-    return std::min(FitCount(ChargeOf(*candidate.m_spec), slot.m_free),
+    return std::min(FitCount(candidate.m_spec->Charge(), slot.m_free),
                     PerVmRoom(candidate, slot));
   }
 
@@ -243,7 +235,7 @@
   }
 
   void Take(const Candidate& candidate, Slot& slot, std::int64_t tasks) {
-    slot.m_free = slot.m_free - ChargeOf(*candidate.m_spec) * tasks;
+    slot.m_free = slot.m_free - candidate.m_spec->Charge() * tasks;
   }
 
   void Plan(const Candidate& candidate, Slot& slot, std::uint32_t index,
@@ -584,7 +576,7 @@
                      [](const Slot* a, const Slot* b) {
                        return a->m_free.m_cpu_millis > b->m_free.m_cpu_millis;
                      });
-    const Resources charge = ChargeOf(*candidate.m_spec);
+    const Resources charge = candidate.m_spec->Charge();
     for (Slot* slot : usable) {
       if (tasks <= 0) {
         break;
--- a/Source/Core/cell/workflow.h
+++ b/Source/Core/cell/workflow.h
@@ -50,6 +50,13 @@
   // Tasks of the step that the scheduler may make unavailable at once.
   std::optional<std::uint32_t> m_max_unavailable;
 
+  // What one run takes from its VM: a step that fills idle processors takes
+  // memory and accelerators only.
+  Resources Charge() const {
+    return {m_fills_idle ? 0 : m_resources.m_cpu_millis,
+            m_resources.m_memory_mb, m_resources.m_accelerators};
+  }
+
   bool operator==(const StepSpec&) const = default;
 };
 
