Keep the threads of the HTTP server until it stops

The library deletes the object of a surplus thread when its event loop handles the thread's last event; a server that stops in between drops that event and loses the object.

Ruled out: objects of ours (the allocations are the library's).

Change: once the server runs, its minimum of threads is its maximum, so that no thread ends before the server does. A daemon keeps as many threads as its peak of parallel connections needed.

--- a/Source/Core/transport/http_server.cc
+++ b/Source/Core/transport/http_server.cc
@@ -1,6 +1,7 @@
 // Adapts cxxtools' HTTP server to HttpRequest and HttpResponse.
 #include "transport/http_server.h"
 
+#include <cxxtools/connectable.h>
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -277,16 +278,19 @@
 
 }  // namespace
 
-class HttpServer::Implementation {
+class HttpServer::Implementation : public cxxtools::Connectable {
  public:
   Implementation(const HttpServerOptions& options, Handler handler)
-      : m_service(std::move(handler), options.m_max_body_bytes),
+      : m_max_threads(options.m_max_threads),
+        m_service(std::move(handler), options.m_max_body_bytes),
         m_server(m_loop) {
     m_server.minThreads(1);
-    m_server.maxThreads(options.m_max_threads);
+    m_server.maxThreads(m_max_threads);
     m_server.readTimeout(cxxtools::Milliseconds(options.m_read_timeout_ms));
     m_server.keepAliveTimeout(cxxtools::Milliseconds(kKeepAliveTimeoutMs));
     m_server.addService(cxxtools::Regex("^/"), m_service);
+    cxxtools::connect(m_server.runmodeChanged, *this,
+                      &Implementation::OnRunmode);
     m_server.listen(options.m_address, options.m_port);
     RaiseListenBacklog(options.m_port, kListenBacklog);
     m_thread = std::thread([this] { m_loop.run(); });
@@ -304,6 +308,16 @@
   std::size_t InFlight() const { return m_service.InFlight(); }
 
  private:
+  // Threads stay once they were started: the library loses the object of a
+  // thread that ends by itself while the server stops. Set only now, as the
+  // library starts its minimum of threads at once.
+  void OnRunmode(http::Server::Runmode mode) {
+    if (mode == http::Server::Running) {
+      m_server.minThreads(m_max_threads);
+    }
+  }
+
+  const unsigned m_max_threads;
   cxxtools::EventLoop m_loop;
   Service m_service;
   http::Server m_server;
--- a/Source/Core/transport/http_test.cc
+++ b/Source/Core/transport/http_test.cc
@@ -6,8 +6,10 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "transport/free_port.h"
 #include "transport/http_client.h"
@@ -116,6 +118,32 @@
   EXPECT_EQ(response->m_status, 500);
 }
 
+// A worker thread of the library that ended while its server stopped was never
+// deleted; the address sanitizer reports it when the program ends.
+TEST(HttpServerTest, StopsWithoutLosingThreadsThatJustEnded) {
+  constexpr int kServers = 200;
+  constexpr int kClients = 8;
+  for (int i = 0; i < kServers; ++i) {
+    const std::uint16_t port = FreeLoopbackPort();
+    auto server = std::make_unique<HttpServer>(
+        HttpServerOptions{.m_port = port}, [](const HttpRequest&) {
+          return HttpResponse{200, {}, "{}"};
+        });
+    std::vector<std::thread> clients;
+    for (int j = 0; j < kClients; ++j) {
+      clients.emplace_back([port] {
+        HttpClient client({"127.0.0.1", port});
+        EXPECT_TRUE(client.Send(
+            {.m_target = "/x", .m_connection = Connection::kFresh}));
+      });
+    }
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    server.reset();
+  }
+}
+
 TEST(HttpClientTest, RefusedConnectionHadNoEffect) {
   HttpClient client({"127.0.0.1", FreeLoopbackPort()});
   const auto response = client.Send({.m_target = "/"});
