--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -30,21 +30,18 @@
   vm.m_description = description;
   vm.m_listed = true;
   // Earlier lives of the same VM run nothing any more.
-  for (auto& [life, earlier] : m_state.Vms()) {
-    if (life.m_id == description.m_life.m_id &&
-        life.m_born < description.m_life.m_born) {
-      earlier.m_listed = false;
-      LoseRuns(earlier, now);
+  for (VmState* life : m_state.LivesOf(description.m_life.m_id)) {
+    if (life->Life().m_born < description.m_life.m_born) {
+      life->m_listed = false;
+      LoseRuns(*life, now);
     }
   }
   m_dirty = true;
 }
 
 void CellCore::OnVmUnlisted(const std::string& id, const CellTime&) {
-  for (auto& [life, vm] : m_state.Vms()) {
-    if (life.m_id == id) {
-      vm.m_listed = false;
-    }
+  for (VmState* life : m_state.LivesOf(id)) {
+    life->m_listed = false;
   }
 }
 
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -31,13 +31,19 @@
   return found == m_vms.end() ? nullptr : &found->second;
 }
 
-VmState* CellState::FindListedVm(const std::string& id) {
-  VmState* newest = nullptr;
+std::vector<VmState*> CellState::LivesOf(const std::string& id) {
+  std::vector<VmState*> lives;
   for (auto vm = m_vms.lower_bound(VmLife{id, INT64_MIN});
        vm != m_vms.end() && vm->first.m_id == id; ++vm) {
-    if (vm->second.m_listed) {
-      newest = &vm->second;
-    }
+    lives.push_back(&vm->second);
+  }
+  return lives;
+}
+
+VmState* CellState::FindListedVm(const std::string& id) {
+  VmState* newest = nullptr;
+  for (VmState* life : LivesOf(id)) {
+    newest = life->m_listed ? life : newest;
   }
   return newest;
 }
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -34,6 +34,8 @@
   std::map<VmLife, VmState>& Vms() { return m_vms; }
   VmState& VmOf(const VmLife& life);
   VmState* FindVm(const VmLife& life);
+  // All known lives of the VM, the oldest first.
+  std::vector<VmState*> LivesOf(const std::string& id);
   // The newest life of the VM that is listed, or null.
   VmState* FindListedVm(const std::string& id);
 
