Judge VMs by the progress of their runs, and notice lost looks in time

Change: a run's reported share of work gives its rate (RunProgress). A VM on which nothing moves for 800 ms, or whose runs take 2.5 times as long as their own best or their step's peers, is avoided for 2 s, and a run that ends 1.5 times sooner elsewhere is stopped and started there, at most twice. A look waits until the next end is overdue, and a second call follows 200 ms after a missing answer.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -19,6 +19,20 @@
 
 }  // namespace
 
+std::string_view ToString(StopReason reason) {
+  switch (reason) {
+    case StopReason::kJobEnded:
+      return "job_ended";
+    case StopReason::kGangBroken:
+      return "gang_broken";
+    case StopReason::kUnknownRun:
+      return "unknown_run";
+    case StopReason::kMove:
+      return "move";
+  }
+  return "";
+}
+
 std::string ToString(const StepRef& step) {
   return fmt::format("{}.{}.{}", step.m_job, step.m_occurrence, step.m_step);
 }
@@ -371,7 +385,7 @@
        ++member.m_index) {
     for (OpenRun& open : step->m_tasks[member.m_index].m_open) {
       if (open.m_number <= run) {
-        SendStop(member, open, now);
+        SendStop(member, open, StopReason::kGangBroken, now);
       }
     }
   }
@@ -386,14 +400,15 @@
       }
       for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
         for (OpenRun& run : step.m_tasks[t].m_open) {
-          SendStop({job.m_spec.m_id, number, s, t}, run, now);
+          SendStop({job.m_spec.m_id, number, s, t}, run, StopReason::kJobEnded,
+                   now);
         }
       }
     }
   }
 }
 
-void CellCore::SendStop(const TaskRef& task, OpenRun& run,
+void CellCore::SendStop(const TaskRef& task, OpenRun& run, StopReason reason,
                         const CellTime& now) {
   // An order that got no answer is repeated; the VM takes it once.
   constexpr std::int64_t kRepeatStopMs = 700;
@@ -411,8 +426,8 @@
   if (run.m_phase == RunPhase::kRunning) {
     run.m_phase = RunPhase::kStopping;
   }
-  m_effects.push_back(
-      StopRun{task, run.m_number, run.m_vm, vm->m_description.m_address});
+  m_effects.push_back(StopRun{task, run.m_number, run.m_vm,
+                              vm->m_description.m_address, reason});
 }
 
 // --- Time ---
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -94,6 +94,10 @@
   // that is to be waited for).
   std::optional<std::int64_t> NextLease(VmState& vm, const CellTime& now) const;
 
+  // How long a look at the VM may wait for an end, in milliseconds: until the
+  // next end is overdue, so that a lost answer is noticed then.
+  std::int64_t LookWaitMs(const VmState& vm, const CellTime& now) const;
+
   CellState& State() { return m_state; }
   const CellState& State() const { return m_state; }
   const CellCounters& Counters() const { return m_counters; }
@@ -150,7 +154,12 @@
                             const CellTime& now);
   void StopRuns(Job& job, const CellTime& now);
   void StopGangRun(const TaskRef& task, std::uint32_t run, const CellTime& now);
-  void SendStop(const TaskRef& task, OpenRun& run, const CellTime& now);
+  void SendStop(const TaskRef& task, OpenRun& run, StopReason reason,
+                const CellTime& now);
+  void JudgeVm(VmState& vm, const CellTime& now);
+  void MoveRun(const VmState& vm, const RunKey& key, const CellTime& now);
+  bool HasRoomElsewhere(const VmState& vm, const Job& job, const StepSpec& spec,
+                        const StepState& step, std::int64_t now_ms) const;
   void ReadEnds(VmState& vm, const VmReport& report, const CellTime& now);
   void ReadRunning(VmState& vm, const VmReport& report);
   void CloseUnlistedRuns(VmState& vm, const VmReport& report,
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "cell/cell_core.h"
+#include "cell/vm_pace.h"
 
 namespace mustardslip {
 namespace {
@@ -19,6 +20,18 @@
 constexpr std::int64_t kLapseSlackMs = 300;
 // A ticket's validity counts from its issue, before the answer came.
 constexpr std::int64_t kTicketTransitMs = 50;
+// A VM that was slow or stalled takes no start for this long.
+constexpr std::int64_t kAvoidImpairedMs = 2'000;
+// A run is moved if it ends this many times sooner elsewhere, and a task only
+// this often.
+constexpr double kLeastMoveGain = 1.5;
+constexpr std::uint32_t kMostMoves = 2;
+// Looks: with nothing to wait for, with a run whose rate is not known yet, and
+// after the expected end of a run.
+constexpr std::int64_t kLongestLookMs = 1'500;
+constexpr std::int64_t kUnmeasuredLookMs = 600;
+constexpr std::int64_t kOverdueEndMs = 120;
+constexpr std::int64_t kShortestLookMs = 150;
 // Pause after a failed call for advice.
 constexpr std::int64_t kRetryAdviceMs = 150;
 
@@ -71,6 +84,7 @@
   ReadEnds(*vm, report, now);
   ReadRunning(*vm, report);
   CloseUnlistedRuns(*vm, report, now);
+  JudgeVm(*vm, now);
 }
 
 void CellCore::ReadEnds(VmState& vm, const VmReport& report,
@@ -91,7 +105,8 @@
       // A start that came too late to count, or of a job that is not known.
       if (vm.m_open.count({listed.m_task, listed.m_run}) == 0) {
         m_effects.push_back(StopRun{listed.m_task, listed.m_run, vm.Life(),
-                                    vm.m_description.m_address});
+                                    vm.m_description.m_address,
+                                    StopReason::kUnknownRun});
       }
       continue;
     }
@@ -100,6 +115,7 @@
       run->m_listed_after_vm_ms = report.m_vm_ms;
       m_state.FindJob(listed.m_task.m_job)->m_confirmed = true;
     }
+    run->m_progress.OnReport(listed.m_percent, report.m_vm_ms);
     if (!listed.m_checkpoint.empty()) {
       StepState& step = *m_state.FindStep(listed.m_task);
       const Job& job = *m_state.FindJob(listed.m_task.m_job);
@@ -111,6 +127,87 @@
   }
 }
 
+// Starts avoid a VM that is slow or stalled, and what gains by it moves away.
+void CellCore::JudgeVm(VmState& vm, const CellTime& now) {
+  vm.m_pace = JudgePace(vm, m_state);
+  if (vm.m_pace == VmPace::kNormal) {
+    return;
+  }
+  vm.m_impaired_until_ms = now.m_steady_ms + kAvoidImpairedMs;
+  std::vector<RunKey> open;
+  for (const auto& [key, charge] : vm.m_open) {
+    open.push_back(key);
+  }
+  for (const RunKey& key : open) {
+    MoveRun(vm, key, now);
+  }
+}
+
+void CellCore::MoveRun(const VmState& vm, const RunKey& key,
+                       const CellTime& now) {
+  Job* job = m_state.FindJob(key.first.m_job);
+  OpenRun* run = m_state.FindRun(key.first, key.second);
+  if (job == nullptr || run == nullptr || job->Ended() ||
+      run->m_phase != RunPhase::kRunning || !run->m_progress.Reported() ||
+      run->m_progress.WorkDone()) {
+    return;
+  }
+  const StepSpec& spec = job->m_spec.m_steps[key.first.m_step];
+  StepState& step = *m_state.FindStep(key.first);
+  TaskState& task =
+      step.m_tasks[spec.m_gang ? 0
+                               : static_cast<std::size_t>(key.first.m_index)];
+  if (spec.m_long_lived || task.m_moves >= kMostMoves) {
+    return;
+  }
+  const MoveCost cost = CostOfMove(spec, step, task, *run, vm.m_pace);
+  if (cost.m_stay_ms < cost.m_move_ms * kLeastMoveGain ||
+      !HasRoomElsewhere(vm, *job, spec, step, now.m_steady_ms)) {
+    return;
+  }
+  ++task.m_moves;
+  SendStop(key.first, *run, StopReason::kMove, now);
+  if (spec.m_gang) {
+    StopGangRun(key.first, key.second, now);
+  }
+}
+
+bool CellCore::HasRoomElsewhere(const VmState& vm, const Job& job,
+                                const StepSpec& spec, const StepState& step,
+                                std::int64_t now_ms) const {
+  for (const auto& [life, other] : m_state.Vms()) {
+    const auto advice = step.m_advice.find(life.m_id);
+    const bool known_bad =
+        advice != step.m_advice.end() && !advice->second.m_good;
+    if (&other != &vm && !known_bad && IsUsable(other, now_ms) &&
+        !other.Avoided(now_ms) &&
+        other.m_description.m_service == job.m_spec.m_queue.m_service &&
+        (spec.m_required_label.empty() ||
+         other.HasLabel(spec.m_required_label)) &&
+        spec.Charge().FitsIn(other.Free())) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::int64_t CellCore::LookWaitMs(const VmState& vm,
+                                  const CellTime& now) const {
+  std::int64_t wait_ms = kLongestLookMs;
+  const std::int64_t vm_now_ms = vm.m_clock.AtLeast(now.m_steady_ms);
+  for (const auto& [key, charge] : vm.m_open) {
+    const OpenRun* run = m_state.FindRun(key.first, key.second);
+    if (run == nullptr || run->m_progress.WorkDone()) {
+      continue;
+    }
+    const auto end_ms = run->m_progress.ExpectedEndVmMs();
+    const std::int64_t run_wait_ms =
+        end_ms ? *end_ms - vm_now_ms + kOverdueEndMs : kUnmeasuredLookMs;
+    wait_ms = std::min(wait_ms, run_wait_ms);
+  }
+  return std::max(wait_ms, kShortestLookMs);
+}
+
 // A run that the VM should know and names in neither list never began, or its
 // end was represented by another member's.
 void CellCore::CloseUnlistedRuns(VmState& vm, const VmReport& report,
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -25,6 +25,9 @@
   VmDescription m_description;
   std::int64_t m_clock_offset_ms = 0;
   std::vector<Running> m_running;
+  // Share of the work that is done, by run; grows with time.
+  std::map<RunKey, double> m_percent;
+  double m_percent_per_ms = 0.01;
   std::vector<ListedEnd> m_ended;
   std::uint64_t m_last_end = 0;
   bool m_reachable = true;
@@ -132,12 +135,25 @@
     constexpr std::int64_t kStepMs = 50;
     for (std::int64_t passed = 0; passed < ms; passed += kStepMs) {
       m_now_ms += kStepMs;
+      Work(kStepMs);
       m_core->OnTick(Now());
       Look();
       Pump();
     }
   }
 
+  // Everything that runs goes on for this long; nothing ends by itself.
+  void Work(std::int64_t ms) {
+    constexpr double kAlmostDone = 99;
+    for (auto& [id, vm] : m_vms) {
+      for (const SimulatedVm::Running& running : vm.m_running) {
+        double& percent = vm.m_percent[{running.m_task, running.m_run}];
+        percent = std::min(kAlmostDone, percent + vm.m_percent_per_ms *
+                                                      static_cast<double>(ms));
+      }
+    }
+  }
+
   // Each reachable VM is held once.
   void Look() {
     for (auto& [id, vm] : m_vms) {
@@ -166,7 +182,10 @@
     report.m_vm = vm.m_description.m_life;
     report.m_vm_ms = m_now_ms + vm.m_clock_offset_ms;
     for (const SimulatedVm::Running& running : vm.m_running) {
-      report.m_running.push_back({running.m_task, running.m_run, "", 0});
+      const auto percent = vm.m_percent.find({running.m_task, running.m_run});
+      report.m_running.push_back(
+          {running.m_task, running.m_run, "",
+           percent == vm.m_percent.end() ? 0 : percent->second});
     }
     report.m_ended = vm.m_ended;
     return report;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -321,6 +321,13 @@
   }
 
   void Do(StopRun& stop) {
+    if (stop.m_reason == StopReason::kMove) {
+      Log(LogLevel::kInfo, LogCategory::kCell, "run_moves_away",
+          {{"job", stop.m_task.m_job},
+           {"task", ToString(stop.m_task)},
+           {"run", stop.m_run},
+           {"vm", stop.m_vm.m_id}});
+    }
     m_vms.Stop(stop, m_owner.m_revision, [](const Result<void>&) {
       // The end of the run is listed by the VM; without it the stop is sent
       // again.
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -86,6 +86,12 @@
   return nullptr;
 }
 
+const OpenRun* CellState::FindRun(const TaskRef& task,
+                                  std::uint32_t number) const {
+  // The search changes nothing.
+  return const_cast<CellState*>(this)->FindRun(task, number);  // NOLINT
+}
+
 void CellState::ApplyOne(const JobAccepted& record) {
   const auto [found, created] = m_jobs.try_emplace(record.m_spec.m_id);
   if (!created) {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -32,6 +32,7 @@
 
   // All lives of VMs that are listed, or that may still run something.
   std::map<VmLife, VmState>& Vms() { return m_vms; }
+  const std::map<VmLife, VmState>& Vms() const { return m_vms; }
   VmState& VmOf(const VmLife& life);
   VmState* FindVm(const VmLife& life);
   // All known lives of the VM, the oldest first.
@@ -45,6 +46,7 @@
   TaskState* FindTask(const TaskRef& task);
   StepState* FindStep(const TaskRef& task);
   OpenRun* FindRun(const TaskRef& task, std::uint32_t number);
+  const OpenRun* FindRun(const TaskRef& task, std::uint32_t number) const;
 
   // Drops jobs that ended before `unix_ms` and have no open runs.
   void DropEndedBefore(std::int64_t unix_ms);
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -92,11 +92,21 @@
   std::int64_t m_deadline_vm_ms = 0;
 };
 
+enum class StopReason : std::uint8_t {
+  kJobEnded,
+  kGangBroken,  // Another member ended or is to be moved.
+  kUnknownRun,  // The VM lists a run that the cell does not know.
+  kMove,        // The VM is slow or stalled, and another has room.
+};
+
+std::string_view ToString(StopReason reason);
+
 struct StopRun {
   TaskRef m_task;
   std::uint32_t m_run = 0;
   VmLife m_vm;
   std::string m_address;
+  StopReason m_reason = StopReason::kJobEnded;
 };
 
 // Names a step of one occurrence of a job.
@@ -132,7 +142,9 @@
   TaskRef m_task;
   std::uint32_t m_run = 0;
   std::string m_checkpoint;
-  std::int64_t m_percent = 0;
+  // Share of the work that is done; for a long-running task, whether it is at
+  // work (100) or still starting.
+  double m_percent = 0;
 };
 
 struct ListedEnd {
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cell/log_record.h"
+#include "cell/run_progress.h"
 #include "cell/workflow.h"
 
 namespace mustardslip {
@@ -40,6 +41,8 @@
   std::int64_t m_stop_sent_ms = 0;
   // Volatile: planned by this owner, and not yet in the store nor sent.
   bool m_awaits_log = false;
+  // Volatile.
+  RunProgress m_progress;
 };
 
 struct TaskState {
@@ -51,6 +54,9 @@
   std::vector<OpenRun> m_open;
   // Volatile: VMs where the last run failed, to be avoided by the next.
   std::string m_last_failed_vm;
+  // Volatile: runs that were stopped to go on elsewhere. Counted for the first
+  // member of a gang only.
+  std::uint32_t m_moves = 0;
 };
 
 // What the advice service said about one VM for one step. The verdict holds for
--- /dev/null
+++ b/Source/Core/cell/run_progress.cc
@@ -0,0 +1,57 @@
+// Measures rates over windows that are long against the rounding of reports.
+#include "cell/run_progress.h"
+
+#include <algorithm>
+
+namespace mustardslip {
+namespace {
+
+// Shares are rounded to a percent, so a window needs a few of them, or time.
+constexpr std::int64_t kShortWindowMs = 300;
+constexpr double kLeastWindowPercent = 4;
+constexpr std::int64_t kLongWindowMs = 900;
+
+}  // namespace
+
+void RunProgress::OnReport(double percent, std::int64_t vm_ms) {
+  if (!m_reported) {
+    m_reported = true;
+    m_anchor_percent = percent;
+    m_anchor_vm_ms = vm_ms;
+    m_moved_vm_ms = vm_ms;
+  } else if (vm_ms <= m_vm_ms) {
+    return;
+  }
+  if (percent != m_percent) {
+    m_moved_vm_ms = vm_ms;
+  }
+  m_percent = percent;
+  m_vm_ms = vm_ms;
+  const std::int64_t window_ms = vm_ms - m_anchor_vm_ms;
+  const double window_percent = percent - m_anchor_percent;
+  const bool precise =
+      window_ms >= kShortWindowMs && window_percent >= kLeastWindowPercent;
+  if (!precise && window_ms < kLongWindowMs) {
+    return;
+  }
+  const double rate =
+      std::max(0.0, window_percent / static_cast<double>(window_ms));
+  m_rate = rate;
+  m_best_rate = std::max(m_best_rate.value_or(0), rate);
+  m_anchor_percent = percent;
+  m_anchor_vm_ms = vm_ms;
+}
+
+std::int64_t RunProgress::StillForMs() const {
+  return WorkDone() ? 0 : m_vm_ms - m_moved_vm_ms;
+}
+
+std::optional<std::int64_t> RunProgress::ExpectedEndVmMs() const {
+  if (!m_rate || *m_rate <= 0 || WorkDone()) {
+    return std::nullopt;
+  }
+  return m_vm_ms +
+         static_cast<std::int64_t>((kWholePercent - m_percent) / *m_rate);
+}
+
+}  // namespace mustardslip
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -118,7 +118,7 @@
   // the pool: where many VMs seem bad, the jobs are the likelier cause.
   void RemoveAvoided(std::vector<Slot>& slots) const {
     const auto avoided = [this](const Slot& slot) {
-      return slot.m_vm->m_avoid_until_ms > m_now.m_steady_ms;
+      return slot.m_vm->Avoided(m_now.m_steady_ms);
     };
     if (std::none_of(slots.begin(), slots.end(), avoided)) {
       return;
--- a/Source/Core/cell/vm_holder.h
+++ b/Source/Core/cell/vm_holder.h
@@ -11,6 +11,7 @@
 #include "cell/cell_core.h"
 #include "cell/cell_platform.h"
 #include "cell/timer_loop.h"
+#include "cell/vm_pace.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -59,21 +60,28 @@
   // With ends that are not in the store yet, a call returns at once.
   static constexpr std::int64_t kGapWithUnwrittenEndsMs = 900;
   static constexpr std::int64_t kGapAfterFailureMs = 250;
-  static constexpr std::int64_t kWaitMs = 1'500;
+  // An answer that is late by this much may be lost: a second call follows.
+  static constexpr std::int64_t kLateAnswerMs = 200;
 
   struct Call {
     bool m_open = false;
+    // The open call is the second one, after the first was not answered.
+    bool m_repeated = false;
     std::int64_t m_next_ms = 0;
     std::int64_t m_sent_ms = 0;
+    std::int64_t m_wait_ms = 0;
     std::uint64_t m_number = 0;
+
+    bool Late(std::int64_t now_ms) const {
+      return m_open && !m_repeated &&
+             now_ms >= m_sent_ms + m_wait_ms + kLateAnswerMs;
+    }
   };
 
   void HoldIfDue(VmState& vm, const CellTime& now, bool renew) {
     Call& call = m_calls[vm.Life()];
-    const bool unwritten = vm.m_last_end != vm.m_durable_end;
-    if (call.m_open || now.m_steady_ms < call.m_next_ms ||
-        (unwritten &&
-         now.m_steady_ms < call.m_sent_ms + kGapWithUnwrittenEndsMs)) {
+    const bool late = call.Late(now.m_steady_ms);
+    if (!late && (call.m_open || !MaySend(call, vm, now))) {
       return;
     }
     HoldOrder order;
@@ -84,10 +92,13 @@
     if (renew) {
       order.m_lease_until_vm_ms = m_core.NextLease(vm, now);
     }
-    order.m_wait_ms =
-        vm.m_fenced && order.m_lease_until_vm_ms.has_value() ? kWaitMs : 0;
+    const bool waits =
+        vm.m_fenced && order.m_lease_until_vm_ms.has_value() && !late;
+    order.m_wait_ms = waits ? m_core.LookWaitMs(vm, now) : 0;
     call.m_open = true;
+    call.m_repeated = late;
     call.m_sent_ms = now.m_steady_ms;
+    call.m_wait_ms = order.m_wait_ms;
     const std::uint64_t number = ++call.m_number;
     m_vms.Hold(order, [this, alive = m_alive, life = order.m_vm,
                        number](Result<VmReport> report) {
@@ -97,6 +108,14 @@
     });
   }
 
+  static bool MaySend(const Call& call, const VmState& vm,
+                      const CellTime& now) {
+    const bool unwritten = vm.m_last_end != vm.m_durable_end;
+    return now.m_steady_ms >= call.m_next_ms &&
+           (!unwritten ||
+            now.m_steady_ms >= call.m_sent_ms + kGapWithUnwrittenEndsMs);
+  }
+
   void OnAnswer(const VmLife& life, std::uint64_t number,
                 Result<VmReport> report) {
     Call& call = m_calls[life];
@@ -115,7 +134,15 @@
             {{"vm", life.m_id},
              {"silent_ms", now.m_steady_ms - vm->m_first_failed_call_ms}});
       }
+      const VmPace pace = vm == nullptr ? VmPace::kNormal : vm->m_pace;
       m_core.OnVmReport(*report, now);
+      if (vm != nullptr && vm->m_pace != pace) {
+        Log(LogLevel::kInfo, LogCategory::kCell, "vm_pace",
+            {{"vm", life.m_id},
+             {"pace", ToString(vm->m_pace)},
+             {"before", ToString(pace)},
+             {"open_runs", vm->m_open.size()}});
+      }
     } else if (report.error().Code() == ErrorCode::kStaleEpoch) {
       m_handlers.m_on_superseded();
       return;
--- /dev/null
+++ b/Source/Core/cell/vm_holder_test.cc
@@ -0,0 +1,130 @@
+// When VMs are looked at, with a VM interface that records the orders.
+#include "cell/vm_holder.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "cell/manual_loop.h"
+
+namespace mustardslip {
+namespace {
+
+// Answers a hold when the test says so.
+struct RecordingVms {
+  struct Call {
+    HoldOrder m_order;
+    HoldDone m_done;
+  };
+
+  void Hold(const HoldOrder& order, HoldDone done) {
+    m_calls.push_back({order, std::move(done)});
+  }
+  void Start(const StartRun&, std::int64_t, const StartDone&) {}
+  void Stop(const StopRun&, std::int64_t, const StopDone&) {}
+
+  std::vector<Call> m_calls;
+};
+
+static_assert(VmControl<RecordingVms>);
+
+class VmHolderTest : public testing::Test {
+ protected:
+  VmHolderTest()
+      : m_core(CellBounds{}),
+        m_holder(m_vms, m_loop, m_core, 7, {[] {}, [] {}}) {
+    m_core.OnRecovered(m_loop.Now());
+    VmDescription vm;
+    vm.m_life = {"vm-0", 1};
+    vm.m_service = "svc";
+    vm.m_address = "127.0.0.1:1";
+    vm.m_capacity = {64'000, 128'000, 0};
+    m_core.OnVmListed(vm, m_loop.Now());
+  }
+
+  void Run(std::int64_t ms) {
+    constexpr std::int64_t kTickMs = 10;
+    for (std::int64_t passed = 0; passed < ms; passed += kTickMs) {
+      m_loop.Run(kTickMs);
+      m_holder.OnTick(true);
+    }
+  }
+
+  void Answer(std::size_t call, std::vector<ListedRun> running = {}) {
+    VmReport report;
+    report.m_vm = {"vm-0", 1};
+    report.m_vm_ms = m_loop.Now().m_steady_ms;
+    report.m_running = std::move(running);
+    m_vms.m_calls.at(call).m_done(std::move(report));
+  }
+
+  // Two answers: the first tells the clock, the second call may wait.
+  void Settle() {
+    Run(10);
+    Answer(0);
+    Run(10);
+    ASSERT_EQ(m_vms.m_calls.size(), 2U);
+  }
+
+  RecordingVms m_vms;
+  ManualLoop m_loop;
+  CellCore m_core;
+  VmHolder<RecordingVms, ManualLoop> m_holder;
+};
+
+// Fails if an idle VM is looked at more often than needed: looks are priced.
+TEST_F(VmHolderTest, OneCallIsOpenAtATime) {
+  Settle();
+  EXPECT_GT(m_vms.m_calls[1].m_order.m_wait_ms, 1'000);
+  Run(1'000);
+  EXPECT_EQ(m_vms.m_calls.size(), 2U);
+}
+
+// Fails if an end goes unnoticed until the call times out because the answer
+// was lost: ends were seen up to 2.5 s late.
+TEST_F(VmHolderTest, SecondCallFollowsALateAnswer) {
+  Settle();
+  const std::int64_t wait_ms = m_vms.m_calls[1].m_order.m_wait_ms;
+  Run(wait_ms + 100);
+  EXPECT_EQ(m_vms.m_calls.size(), 2U);
+  Run(150);
+  ASSERT_EQ(m_vms.m_calls.size(), 3U);
+  EXPECT_EQ(m_vms.m_calls[2].m_order.m_wait_ms, 0);
+  Run(400);
+  EXPECT_EQ(m_vms.m_calls.size(), 3U);
+  // The first call's failure says nothing about the VM any more.
+  m_vms.m_calls[1].m_done(Fail(ErrorCode::kUnknownOutcome, "no_answer"));
+  EXPECT_EQ(m_core.State().FindListedVm("vm-0")->m_first_failed_call_ms, 0);
+  m_vms.m_calls[2].m_done(Fail(ErrorCode::kUnknownOutcome, "no_answer"));
+  EXPECT_NE(m_core.State().FindListedVm("vm-0")->m_first_failed_call_ms, 0);
+}
+
+// Fails if a look waits longer than the run that ends next.
+TEST_F(VmHolderTest, LookEndsSoonAfterTheExpectedEndOfARun) {
+  Settle();
+  WorkflowSpec spec;
+  spec.m_id = "0000000000000001";
+  spec.m_queue.m_name = "queue";
+  spec.m_queue.m_service = "svc";
+  StepSpec step;
+  step.m_count = 1;
+  step.m_resources = {1'000, 0, 0};
+  spec.m_steps = {step};
+  m_core.Submit(1, spec, m_loop.Now());
+  m_core.Schedule(m_loop.Now(), 0);
+  m_core.BeginBatch();
+  m_core.OnDurable(m_loop.Now());
+  const TaskRef task{"0000000000000001", 0, 0, 0};
+  Answer(1, {{task, 1, "", 0}});
+  Run(400);
+  Answer(m_vms.m_calls.size() - 1, {{task, 1, "", 50}});
+  Run(100);
+  // Half of the work took about 400 ms, so the other half does too.
+  const std::int64_t wait_ms = m_vms.m_calls.back().m_order.m_wait_ms;
+  EXPECT_GT(wait_ms, 250);
+  EXPECT_LT(wait_ms, 600);
+}
+
+}  // namespace
+}  // namespace mustardslip
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -1,6 +1,7 @@
 // What the owner of a cell knows about a VM: room, lease, clock and health.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -47,6 +48,9 @@
   std::int64_t m_at_ms = 0;
 };
 
+// How a VM's runs go, judged by their progress (vm_pace.h).
+enum class VmPace : std::uint8_t { kNormal, kSlow, kStalled };
+
 // A run on a VM: the task and its run number.
 using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -74,12 +78,19 @@
   std::int64_t m_first_failed_call_ms = 0;
   // The jobs whose runs failed here since the last success.
   std::set<std::string> m_failed_jobs;
-  // Owner's steady clock: no starts before this, if others have room.
+  // Owner's steady clock: no starts before this, if others have room. The first
+  // is set by failed runs, the second by the pace.
   std::int64_t m_avoid_until_ms = 0;
+  std::int64_t m_impaired_until_ms = 0;
+  VmPace m_pace = VmPace::kNormal;
 
   const VmLife& Life() const { return m_description.m_life; }
   Resources Free() const { return m_description.m_capacity - m_used; }
   bool HasLabel(const std::string& label) const;
+  // Starts should go to other VMs for now.
+  bool Avoided(std::int64_t now_ms) const {
+    return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
+  }
 };
 
 }  // namespace mustardslip
