Do not take a slow store for a silent one; ask for advice during a write

Cause: with answers of about 300 ms (platform_slow) each try of a write was given up after 150 ms and sent again, so that the fifth try was the first to live long enough.

Ruled out: the store refusing (no refused tries in the log); the rolling restart of the same seconds (the owner was not stopped).

Change: a write without an answer is sent again beside the first call, up to three at once, and the first answer decides; the owner asks for advice while a write is in flight, so that tickets are there when it is done.

SlowStoreAnswersTheFirstTry fails with the log as it was.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -510,6 +510,18 @@
   }
 }
 
+void CellCore::AskAhead(const CellTime& now, std::size_t free_asks) {
+  if (!m_store_writable || m_ready.empty() || free_asks == 0) {
+    return;
+  }
+  ScheduleResult result =
+      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_asks);
+  for (AskAdvice& ask : result.m_asks) {
+    ++m_counters.m_asks;
+    m_effects.push_back(std::move(ask));
+  }
+}
+
 std::vector<Effect> CellCore::TakeEffects() {
   std::vector<Effect> effects;
   effects.swap(m_effects);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -72,6 +72,9 @@
   void OnTick(const CellTime& now);
   // Plans starts if something changed since the last call.
   void Schedule(const CellTime& now, std::size_t free_asks);
+  // Asks for advice that the next call of Schedule can use, and plans nothing:
+  // for the time in which a write to the log is in flight.
+  void AskAhead(const CellTime& now, std::size_t free_asks);
 
   // --- Log ---
   bool HasOpenBatch() const { return !m_open.m_records.empty(); }
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -100,6 +100,27 @@
   EXPECT_EQ(m_cell.LastAnswer()->m_outcome, CellOutcome::kAccepted);
 }
 
+// Fails if a slow store delays the advice of a job by one write more: asking
+// began only when the write in flight was done.
+TEST_F(CellCoreTest, AsksForAdviceWhileAWriteIsInFlight) {
+  AddVms(1);
+  m_cell.m_store_up = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Write();
+  QueueRules queue = m_cell.Queue();
+  queue.m_needs_advice = true;
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}, queue));
+  m_cell.Core().AskAhead(m_cell.Now(), 4);
+  m_cell.Pump();
+  EXPECT_EQ(m_cell.m_asked.size(), 1U);
+  EXPECT_TRUE(m_cell.m_starts.empty());
+  m_cell.Core().OnDurable(m_cell.Now());
+  m_cell.m_store_up = true;
+  m_cell.Pump();
+  EXPECT_EQ(m_cell.m_asked.size(), 1U);
+  EXPECT_EQ(m_cell.RunningOf(2), 1U);
+}
+
 // Fails if a repeated submission becomes a second job.
 TEST_F(CellCoreTest, RepeatedSubmissionIsOneJob) {
   AddVms(1);
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -143,6 +143,8 @@
   // Least time between two writes to the log: each write is priced, and a
   // larger batch costs no more.
   static constexpr std::int64_t kCommitIntervalMs = 30;
+  // While a write takes longer than this, advice is asked for this often.
+  static constexpr std::int64_t kAskAheadMs = 40;
   static constexpr std::int64_t kReportStuckMs = 1'000;
   // A write that takes longer than this shows that the store takes none.
   static constexpr std::int64_t kStoreStalledMs = 700;
@@ -251,6 +253,13 @@
     const std::int64_t wait_ms =
         m_last_commit_ms + kCommitIntervalMs - now.m_steady_ms;
     if (m_log.Writing()) {
+      // A slow store leaves time to have the tickets ready.
+      if (m_log.StalledMs() >= kAskAheadMs &&
+          now.m_steady_ms - m_last_ask_ahead_ms >= kAskAheadMs) {
+        m_last_ask_ahead_ms = now.m_steady_ms;
+        m_core.AskAhead(now, m_asks.FreeCalls());
+        CarryOut();
+      }
       return;
     }
     if (wait_ms > 0) {
@@ -417,6 +426,7 @@
   bool m_commit_pending = false;
   std::int64_t m_started_ms = 0;
   std::int64_t m_last_commit_ms = 0;
+  std::int64_t m_last_ask_ahead_ms = 0;
   std::int64_t m_renewed_ms = 0;
   std::int64_t m_stuck_reported_ms = 0;
 };
--- a/Source/Core/cell/fake_async_store.h
+++ b/Source/Core/cell/fake_async_store.h
@@ -188,9 +188,11 @@
   std::int64_t m_late_ms = 3'000;
   std::size_t m_page_size = 3;
   std::size_t m_commits = 0;
+  // How long an answer takes. A call whose time limit is shorter fails, and is
+  // done all the same.
+  std::int64_t m_latency_ms = 4;
 
  private:
-  static constexpr std::int64_t kLatencyMs = 4;
   static constexpr std::int64_t kReadTimeoutMs = 500;
   static constexpr std::int64_t kPollMs = 10;
 
@@ -199,7 +201,7 @@
   template <typename T, typename Act>
   void Answer(std::int64_t timeout_ms, StoreCallback<T> done, Act act) {
     if (m_fault == Fault::kRefuse) {
-      m_loop.After(kLatencyMs, [done = std::move(done)] {
+      m_loop.After(m_latency_ms, [done = std::move(done)] {
         done(Fail(ErrorCode::kUnavailable, "refused"));
       });
     } else if (Failing()) {
@@ -208,7 +210,10 @@
       });
     } else {
       auto result = std::make_shared<Result<T>>(act());
-      m_loop.After(kLatencyMs,
+      if (m_latency_ms > timeout_ms) {
+        *result = Fail(ErrorCode::kUnknownOutcome, "no_answer");
+      }
+      m_loop.After(std::min(m_latency_ms, timeout_ms),
                    [done = std::move(done), result] { done(*result); });
     }
   }
--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -70,6 +70,9 @@
   void Append(std::string bytes, std::function<void()> done) {
     Invariant(!m_writing, "one segment is written at a time");
     m_writing = true;
+    ++m_write;
+    m_open_tries = 0;
+    m_repeats = 0;
     m_first_try_ms = m_loop.Now().m_steady_ms;
     m_segment_done = std::move(done);
     m_transaction = StoreTransaction{};
@@ -126,10 +129,13 @@
   static constexpr std::size_t kRecordsPerPart = 1'500;
   // Most keys that one transaction removes.
   static constexpr std::size_t kRemovalsPerCall = 30;
-  static constexpr std::int64_t kLeastTimeoutMs = 150;
+  static constexpr std::int64_t kLeastRepeatMs = 150;
   static constexpr std::int64_t kMostTimeoutMs = 1'500;
-  // A write is repeated when this many times its usual time has passed.
-  static constexpr std::int64_t kTimeoutFactor = 4;
+  // A write is sent again when this many times its usual time has passed, then
+  // after twice that time and so on.
+  static constexpr std::int64_t kRepeatFactor = 4;
+  static constexpr int kMostDoublings = 4;
+  static constexpr int kMostOpenTries = 3;
   static constexpr std::int64_t kRetryMs = 40;
   // A store that refuses shows it at once. One that is slow (up to 300 ms an
   // answer was seen) looks like a silent one for the first tries.
@@ -233,31 +239,45 @@
 
   // --- Append ---
 
-  std::int64_t Timeout() const {
-    return std::clamp(m_usual_ms * kTimeoutFactor << m_tries, kLeastTimeoutMs,
-                      kMostTimeoutMs);
-  }
-
+  // A write that got no answer yet is sent again beside the first call: a slow
+  // store answers that one, and a lost answer is made up for by the second.
   void Try() {
+    ++m_open_tries;
+    const std::uint64_t number = ++m_last_try;
     const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
-    m_store.Commit(m_transaction, Timeout(),
-                   m_guard.Wrap([this, sent_ms](auto answer) {
-                     OnCommit(std::move(answer), sent_ms);
+    m_store.Commit(m_transaction, kMostTimeoutMs,
+                   m_guard.Wrap([this, write = m_write, sent_ms](auto answer) {
+                     if (m_writing && write == m_write) {
+                       OnCommit(std::move(answer), sent_ms);
+                     }
                    }));
+    Later(RepeatMs(), [this, number] { TryAgain(number); });
+  }
+
+  std::int64_t RepeatMs() const {
+    return std::clamp(m_usual_ms * kRepeatFactor << m_repeats, kLeastRepeatMs,
+                      kMostTimeoutMs);
+  }
+
+  // Does nothing if a newer try was made, or the write is done.
+  void TryAgain(std::uint64_t after_try) {
+    if (m_writing && after_try == m_last_try &&
+        m_open_tries < kMostOpenTries) {
+      m_repeats = std::min(m_repeats + 1, kMostDoublings);
+      Try();
+    }
   }
 
   void OnCommit(Result<CommitAnswer> answer, std::int64_t sent_ms) {
     const std::int64_t now_ms = m_loop.Now().m_steady_ms;
     if (!answer) {
-      constexpr int kMostDoublings = 4;
-      m_tries = std::min(m_tries + 1, kMostDoublings);
+      --m_open_tries;
       if (answer.error().HadNoEffect()) {
         ++m_refused_tries;
       }
-      Later(kRetryMs, [this] { Try(); });
+      Later(kRetryMs, [this, number = m_last_try] { TryAgain(number); });
       return;
     }
-    m_tries = 0;
     m_refused_tries = 0;
     m_last_answer_ms = now_ms;
     m_usual_ms =
@@ -381,8 +401,14 @@
   bool m_writing_snapshot = false;
   std::int64_t m_first_try_ms = 0;
   std::int64_t m_last_answer_ms = 0;
-  std::int64_t m_usual_ms = kLeastTimeoutMs / kTimeoutFactor;
-  int m_tries = 0;
+  // How long an answer usually takes.
+  std::int64_t m_usual_ms = kLeastRepeatMs / kRepeatFactor;
+  // Number of the present write, and of the newest try of any write.
+  std::uint64_t m_write = 0;
+  std::uint64_t m_last_try = 0;
+  // Tries of the present write: without an answer yet, and beyond the first.
+  int m_open_tries = 0;
+  int m_repeats = 0;
   int m_refused_tries = 0;
   StoreTransaction m_transaction;
   std::function<void()> m_segment_done;
--- a/Source/Core/cell/owner_log_test.cc
+++ b/Source/Core/cell/owner_log_test.cc
@@ -68,6 +68,29 @@
   EXPECT_EQ(LoadedJobs(), written);
 }
 
+// Fails if a store that takes 300 ms an answer looks like a silent one: each try
+// was given up before its answer came, and the cell went to another owner.
+TEST_F(OwnerLogTest, SlowStoreAnswersTheFirstTry) {
+  const auto log = LoadedLog();
+  for (int i = 0; i < 20; ++i) {
+    log->Append(Segment("fast"), [this] { ++m_durable; });
+    m_loop.Run(40);
+  }
+  ASSERT_EQ(m_durable, 20);
+  m_store.m_latency_ms = 300;
+  log->Append(Segment("slow"), [this] { ++m_durable; });
+  m_loop.Run(320);
+  EXPECT_EQ(m_durable, 21);
+  // The answers to the repeated tries belong to no later write.
+  log->Append(Segment("next"), [this] { ++m_durable; });
+  m_loop.Run(200);
+  EXPECT_EQ(m_durable, 21);
+  m_loop.Run(200);
+  EXPECT_EQ(m_durable, 22);
+  m_store.m_latency_ms = 1;
+  EXPECT_EQ(LoadedJobs().size(), 22U);
+}
+
 // Fails if a lost answer is taken as a failed write, or the write is repeated
 // under another number.
 TEST_F(OwnerLogTest, LostAnswerIsResolvedByRepeating) {
