--- a/Source/Core/transport/http_server.h
+++ b/Source/Core/transport/http_server.h
@@ -15,7 +15,8 @@
   std::string m_address = "127.0.0.1";
   std::uint16_t m_port = 0;
   // A thread stays with its connection while requests keep coming, so the
-  // limit has to be well above the number of busy connections.
+  // limit has to be well above the number of busy connections. Threads that
+  // were started stay until the server stops.
   unsigned m_max_threads = 1024;
   std::size_t m_max_body_bytes = 1U << 20U;
   // Time for a client to send a request, in milliseconds.
