Let one guard, one task lookup and one chain pass serve the cell; remove what nothing reads

Cause (read of the whole change): the cell's owner, holder, entry and node each kept a flag of their own for late callbacks beside CallbackGuard; two records looked their task up with the same lines; a job's chains were computed once per step, and for the longest once more per step; the label check of the scheduler stood again in the search for room; open runs of a VM were copied in two places; objects were destroyed later by three copies of the same lines; a const search went through a const_cast.

Change: CallbackGuard, now in common/, serves all of them; CellState::PlaceOf, Job::ChainsMs, VmState::MayRun and OpenRuns, CellNode::DestroyLater. Removed, since nothing read it: the feed's freshness handler and its times, the version of the configuration in link messages, a run's ticket beside its placement, three counters, the advice call that AdviceQueue::Finish returned.

--- a/Source/Core/cell/advice_queue.h
+++ b/Source/Core/cell/advice_queue.h
@@ -76,19 +76,10 @@
     return Assignment{best, number};
   }
 
-  // The call is over; nullopt if it is not known (it was given up).
-  std::optional<AskAdvice> Finish(std::uint64_t daemon, std::uint64_t number) {
+  // The call is over; false if it is not known (it was given up).
+  bool Finish(std::uint64_t daemon, std::uint64_t number) {
     const auto calls = m_daemons.find(daemon);
-    if (calls == m_daemons.end()) {
-      return std::nullopt;
-    }
-    const auto call = calls->second.find(number);
-    if (call == calls->second.end()) {
-      return std::nullopt;
-    }
-    AskAdvice ask = call->second.m_ask;
-    calls->second.erase(call);
-    return ask;
+    return calls != m_daemons.end() && calls->second.erase(number) > 0;
   }
 
   // Calls that got no answer in time.
--- a/Source/Core/cell/byte_codec.h
+++ b/Source/Core/cell/byte_codec.h
@@ -31,8 +31,6 @@
     m_bytes.append(text);
   }
 
-  const std::string& Bytes() const { return m_bytes; }
-  std::size_t Size() const { return m_bytes.size(); }
   std::string Take() { return std::move(m_bytes); }
 
  private:
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -99,7 +99,7 @@
 
   // How long a look at the VM may wait for an end, in milliseconds: until the
   // next end is overdue, so that a lost answer is noticed then.
-  std::int64_t LookWaitMs(const VmState& vm, const CellTime& now) const;
+  std::int64_t LookWaitMs(const VmState& vm, const CellTime& now);
 
   CellState& State() { return m_state; }
   const CellState& State() const { return m_state; }
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -134,11 +134,7 @@
     return;
   }
   vm.m_impaired_until_ms = now.m_steady_ms + kAvoidImpairedMs;
-  std::vector<RunKey> open;
-  for (const auto& [key, charge] : vm.m_open) {
-    open.push_back(key);
-  }
-  for (const RunKey& key : open) {
+  for (const RunKey& key : vm.OpenRuns()) {
     MoveRun(vm, key, now);
   }
 }
@@ -182,17 +178,14 @@
     if (&other != &vm && !known_bad && IsUsable(other, now_ms) &&
         !other.Avoided(now_ms) &&
         other.m_description.m_service == job.m_spec.m_queue.m_service &&
-        (spec.m_required_label.empty() ||
-         other.HasLabel(spec.m_required_label)) &&
-        spec.Charge().FitsIn(other.Free())) {
+        other.MayRun(spec) && spec.Charge().FitsIn(other.Free())) {
       return true;
     }
   }
   return false;
 }
 
-std::int64_t CellCore::LookWaitMs(const VmState& vm,
-                                  const CellTime& now) const {
+std::int64_t CellCore::LookWaitMs(const VmState& vm, const CellTime& now) {
   std::int64_t wait_ms = kLongestLookMs;
   const std::int64_t vm_now_ms = vm.m_clock.AtLeast(now.m_steady_ms);
   for (const auto& [key, charge] : vm.m_open) {
@@ -277,11 +270,7 @@
 }
 
 void CellCore::LoseRuns(VmState& vm, const CellTime& now) {
-  std::vector<RunKey> open;
-  for (const auto& [key, charge] : vm.m_open) {
-    open.push_back(key);
-  }
-  for (const RunKey& key : open) {
+  for (const RunKey& key : vm.OpenRuns()) {
     CloseRun(key.first, key.second, vm.Life(), RunEnd::kLost, "", 0, now);
   }
 }
--- a/Source/Core/cell/cell_entry.h
+++ b/Source/Core/cell/cell_entry.h
@@ -15,6 +15,7 @@
 
 #include "cell/cell_request.h"
 #include "cell/timer_loop.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -26,9 +27,7 @@
   using LocalOwner = std::function<void(CellRequest, AnswerDone)>;
   using SendToOwner = std::function<void(const LinkMessage&)>;
 
-  explicit CellEntry(Loop& loop)
-      : m_loop(loop), m_alive(std::make_shared<bool>(true)) {}
-  ~CellEntry() { *m_alive = false; }
+  explicit CellEntry(Loop& loop) : m_loop(loop) {}
 
   CellEntry(const CellEntry&) = delete;
   CellEntry& operator=(const CellEntry&) = delete;
@@ -58,7 +57,6 @@
   }
 
   bool Connected() const { return m_local != nullptr || m_send != nullptr; }
-  std::size_t OpenRequests() const { return m_open.size(); }
 
   // `done` runs once, at the latest `wait_ms` from now. An unanswered request
   // ends as kUnknown: it, or an earlier try of it, may have been carried out.
@@ -68,17 +66,13 @@
     const std::uint64_t number = ++m_last_number;
     m_open[number] = {std::move(request), std::move(done), false};
     m_loop.After(wait_ms * kWaitForOwnerPercent / 100,
-                 [this, alive = m_alive, number] {
-                   if (*alive && !Connected()) {
+                 m_guard.Wrap([this, number] {
+                   if (!Connected()) {
                      GiveUp(number);
                    }
-                 });
+                 }));
     m_loop.After(std::max<std::int64_t>(1, wait_ms),
-                 [this, alive = m_alive, number] {
-                   if (*alive) {
-                     GiveUp(number);
-                   }
-                 });
+                 m_guard.Wrap([this, number] { GiveUp(number); }));
     Send(number);
   }
 
@@ -116,12 +110,12 @@
     }
     if (m_local) {
       found->second.m_sent = true;
-      m_local(found->second.m_request, [this, alive = m_alive, number,
-                                        epoch = m_epoch](CellAnswer answer) {
-        if (*alive && epoch == m_epoch) {
-          OnAnswer(number, std::move(answer));
-        }
-      });
+      m_local(found->second.m_request,
+              m_guard.Wrap([this, number, epoch = m_epoch](CellAnswer answer) {
+                if (epoch == m_epoch) {
+                  OnAnswer(number, std::move(answer));
+                }
+              }));
     } else if (m_send) {
       found->second.m_sent = true;
       LinkMessage message;
@@ -151,7 +145,7 @@
   static constexpr std::int64_t kWaitForOwnerPercent = 45;
 
   Loop& m_loop;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   LocalOwner m_local;
   SendToOwner m_send;
   // Grows with each loss of an owner, so that its late answers are dropped.
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -20,6 +20,7 @@
 #include "cell/configuration_view.h"
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 #include "transport/message_link.h"
 
@@ -53,7 +54,6 @@
         m_vms(vms),
         m_advice(advice),
         m_options(std::move(options)),
-        m_alive(std::make_shared<bool>(true)),
         m_entry(reactor),
         m_listener(reactor, m_options.m_link_address,
                    [this](int socket) { OnAccept(socket); }),
@@ -66,8 +66,6 @@
         m_configuration_feed(store, reactor, m_options.m_configuration_key,
                              kConfigurationWatchMs, ConfigurationHandlers()) {}
 
-  ~CellNode() { *m_alive = false; }
-
   CellNode(const CellNode&) = delete;
   CellNode& operator=(const CellNode&) = delete;
 
@@ -101,7 +99,6 @@
     m_entry.Handle(std::move(request), wait_ms, std::move(done));
   }
 
-  std::size_t OpenRequests() const { return m_entry.OpenRequests(); }
   // Null unless this daemon owns the cell.
   const Owner* OwnerOrNull() const { return m_owner.get(); }
 
@@ -205,13 +202,11 @@
   }
 
   void OnLost() {
-    // Not from within the owner's own call stack.
-    std::shared_ptr<Owner> owner = std::move(m_owner);
-    m_reactor.After(0, [owner] {});
+    DestroyLater(std::move(m_owner));
     m_entry.UseNone();
     // Their requests go to the next owner.
-    m_reactor.After(0, [this, alive = m_alive] {
-      if (*alive && !m_owner) {
+    Later(0, [this] {
+      if (!m_owner) {
         m_peers.clear();
       }
     });
@@ -257,7 +252,6 @@
     LinkMessage hello;
     hello.m_kind = LinkMessageKind::kHello;
     hello.m_instance = m_options.m_ownership.m_instance;
-    hello.m_configuration_version = ConfigurationVersion();
     m_link->Send(EncodeLinkMessage(hello));
   }
 
@@ -265,9 +259,7 @@
     if (!m_link) {
       return;
     }
-    // The link may be the caller.
-    std::shared_ptr<MessageLink> link = std::move(m_link);
-    m_reactor.After(0, [link] {});
+    DestroyLater(std::move(m_link));
     m_entry.UseNone();
   }
 
@@ -276,11 +268,7 @@
     if (refused) {
       m_ownership.OnOwnerDead(m_link_revision);
     }
-    m_reactor.After(kReconnectMs, [this, alive = m_alive] {
-      if (*alive) {
-        Connect();
-      }
-    });
+    Later(kReconnectMs, [this] { Connect(); });
   }
 
   void OnOwnerMessage(const RpcMessage& raw) {
@@ -329,18 +317,19 @@
 
   // Asks on behalf of the owner.
   void AskFor(const LinkMessage& message) {
-    AskAdvice ask = message.m_ask;
-    m_advice.Ask(ask, [this, alive = m_alive, number = message.m_number,
-                       revision = m_link_revision](AdviceAnswer answer) {
-      if (!*alive || !m_link || m_link_revision != revision) {
-        return;
-      }
-      LinkMessage reply;
-      reply.m_kind = LinkMessageKind::kAdvice;
-      reply.m_number = number;
-      reply.m_advice = std::move(answer);
-      m_link->Send(EncodeLinkMessage(reply));
-    });
+    m_advice.Ask(
+        message.m_ask,
+        m_guard.Wrap([this, number = message.m_number,
+                      revision = m_link_revision](AdviceAnswer answer) {
+          if (!m_link || m_link_revision != revision) {
+            return;
+          }
+          LinkMessage reply;
+          reply.m_kind = LinkMessageKind::kAdvice;
+          reply.m_number = number;
+          reply.m_advice = std::move(answer);
+          m_link->Send(EncodeLinkMessage(reply));
+        }));
   }
 
   // --- Links from other daemons ---
@@ -363,9 +352,8 @@
     if (found == m_peers.end()) {
       return;
     }
-    std::shared_ptr<MessageLink> link = std::move(found->second.m_link);
+    DestroyLater(std::move(found->second.m_link));
     m_peers.erase(found);
-    m_reactor.After(0, [link] {});
     if (m_owner) {
       m_owner->RemoveDaemon(number);
     }
@@ -420,17 +408,14 @@
       return;  // The link is closed or about to be; the sender asks the next.
     }
     m_owner->Handle(message.m_request,
-                    [this, alive = m_alive, number,
-                     request = message.m_number](CellAnswer answer) {
-                      if (!*alive) {
-                        return;
-                      }
+                    m_guard.Wrap([this, number, request = message.m_number](
+                                     CellAnswer answer) {
                       LinkMessage reply;
                       reply.m_kind = LinkMessageKind::kAnswer;
                       reply.m_number = request;
                       reply.m_answer = std::move(answer);
                       SendTo(number, reply);
-                    });
+                    }));
   }
 
   void SendTo(std::uint64_t number, const LinkMessage& message) {
@@ -452,17 +437,12 @@
     }
     CheckLinks(now_ms);
     CheckDrain(now_ms);
-    m_reactor.After(kPingMs, [this, alive = m_alive] {
-      if (*alive) {
-        Tick();
-      }
-    });
+    Later(kPingMs, [this] { Tick(); });
   }
 
   void CheckLinks(std::int64_t now_ms) {
     LinkMessage ping;
     ping.m_kind = LinkMessageKind::kPing;
-    ping.m_configuration_version = ConfigurationVersion();
     const RpcMessage encoded = EncodeLinkMessage(ping);
     if (m_link) {
       if (now_ms - m_link_heard_ms > kSilentLinkMs) {
@@ -498,8 +478,13 @@
     }
   }
 
-  std::int64_t ConfigurationVersion() const {
-    return m_configuration ? m_configuration->Version() : 0;
+  void Later(std::int64_t ms, std::function<void()> task) {
+    m_reactor.After(ms, m_guard.Wrap(std::move(task)));
+  }
+
+  // Not at once, as the object may be the caller.
+  void DestroyLater(std::shared_ptr<void> object) {
+    m_reactor.After(0, [object = std::move(object)] {});
   }
 
   Reactor& m_reactor;
@@ -507,7 +492,7 @@
   Vms& m_vms;
   AdvicePort& m_advice;
   const CellNodeOptions m_options;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   CellEntry<Reactor> m_entry;
   MessageListener m_listener;
   std::shared_ptr<Owner> m_owner;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -21,6 +21,7 @@
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
 #include "cell/vm_holder.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -62,7 +63,6 @@
         m_options(std::move(options)),
         m_owner(owner),
         m_handlers(std::move(handlers)),
-        m_alive(std::make_shared<bool>(true)),
         m_core(m_options.m_bounds),
         m_log(store, loop),
         m_holder(vms, loop, m_core, owner.m_revision,
@@ -73,8 +73,6 @@
     m_log.OnSuperseded([this] { Superseded(); });
   }
 
-  ~CellOwner() { *m_alive = false; }
-
   CellOwner(const CellOwner&) = delete;
   CellOwner& operator=(const CellOwner&) = delete;
 
@@ -315,10 +313,7 @@
 
   void Do(StartRun& start) {
     m_vms.Start(start, m_owner.m_revision,
-                [this, alive = m_alive](const StartAnswer& answer) {
-                  if (!*alive) {
-                    return;
-                  }
+                m_guard.Wrap([this](const StartAnswer& answer) {
                   if (answer.m_outcome == StartOutcome::kSuperseded) {
                     Superseded();
                     return;
@@ -326,7 +321,7 @@
                   LogStartAnswer(answer);
                   m_core.OnStartAnswer(answer, m_loop.Now());
                   PumpSoon();
-                });
+                }));
   }
 
   void Do(StopRun& stop) {
@@ -353,12 +348,10 @@
       m_handlers.m_remote_ask(assignment->m_daemon, assignment->m_number, ask);
       return;
     }
-    m_advice.Ask(ask, [this, alive = m_alive,
-                       number = assignment->m_number](AdviceAnswer answer) {
-      if (*alive) {
-        OnRemoteAdvice(kThisDaemon, number, std::move(answer));
-      }
-    });
+    m_advice.Ask(ask, m_guard.Wrap([this, number = assignment->m_number](
+                                       AdviceAnswer answer) {
+      OnRemoteAdvice(kThisDaemon, number, std::move(answer));
+    }));
   }
 
   void Do(ReplyToCaller& reply) {
@@ -390,19 +383,11 @@
       return;
     }
     m_superseded = true;
-    m_loop.After(0, [this, alive = m_alive] {
-      if (*alive) {
-        m_handlers.m_on_superseded();
-      }
-    });
+    Later(0, [this] { m_handlers.m_on_superseded(); });
   }
 
   void Later(std::int64_t ms, std::function<void()> task) {
-    m_loop.After(ms, [alive = m_alive, task = std::move(task)] {
-      if (*alive) {
-        task();
-      }
-    });
+    m_loop.After(ms, m_guard.Wrap(std::move(task)));
   }
 
   Loop& m_loop;
@@ -411,7 +396,7 @@
   const CellOwnerOptions m_options;
   const OwnerRecord m_owner;
   const Handlers m_handlers;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   CellCore m_core;
   OwnerLog<Store, Loop> m_log;
   VmHolder<Vms, Loop> m_holder;
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -105,7 +105,6 @@
     case LinkMessageKind::kPing:
     case LinkMessageKind::kYield:
       decoded.m_instance = header.value("i", "");
-      decoded.m_configuration_version = header.value("c", std::int64_t{0});
       break;
     case LinkMessageKind::kRequest: {
       auto request = DecodeRequest(message);
@@ -147,7 +146,6 @@
     case LinkMessageKind::kPing:
     case LinkMessageKind::kYield:
       encoded.m_header["i"] = message.m_instance;
-      encoded.m_header["c"] = message.m_configuration_version;
       break;
     case LinkMessageKind::kRequest:
       EncodeRequest(message.m_request, encoded);
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -47,8 +47,6 @@
   std::uint64_t m_number = 0;
   // kHello, kWelcome, kNotOwner: the sender's instance.
   std::string m_instance;
-  // kHello, kWelcome, kPing: the sender's version of the configuration.
-  std::int64_t m_configuration_version = 0;
   CellRequest m_request;
   CellAnswer m_answer;
   AskAdvice m_ask;
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -86,10 +86,18 @@
   return nullptr;
 }
 
-const OpenRun* CellState::FindRun(const TaskRef& task,
-                                  std::uint32_t number) const {
-  // The search changes nothing.
-  return const_cast<CellState*>(this)->FindRun(task, number);  // NOLINT
+std::optional<CellState::TaskPlace> CellState::PlaceOf(const TaskRef& task) {
+  Job* job = FindJob(task.m_job);
+  if (job == nullptr || task.m_step >= job->m_spec.m_steps.size()) {
+    return std::nullopt;
+  }
+  Occurrence& occurrence = job->OccurrenceAt(task.m_occurrence);
+  StepState& step = occurrence.m_steps[task.m_step];
+  if (task.m_index >= step.m_tasks.size()) {
+    return std::nullopt;
+  }
+  return TaskPlace{*job, occurrence, step, job->m_spec.m_steps[task.m_step],
+                   step.m_tasks[task.m_index]};
 }
 
 void CellState::ApplyOne(const JobAccepted& record) {
@@ -114,16 +122,11 @@
 }
 
 void CellState::ApplyOne(const RunPlanned& record) {
-  Job* job = FindJob(record.m_task.m_job);
-  if (job == nullptr || record.m_task.m_step >= job->m_spec.m_steps.size()) {
-    return;
-  }
-  Occurrence& occurrence = job->OccurrenceAt(record.m_task.m_occurrence);
-  StepState& step = occurrence.m_steps[record.m_task.m_step];
-  if (record.m_task.m_index >= step.m_tasks.size()) {
+  const auto place = PlaceOf(record.m_task);
+  if (!place) {
     return;
   }
-  TaskState& task = step.m_tasks[record.m_task.m_index];
+  auto& [job, occurrence, step, spec, task] = *place;
   OpenRun run;
   run.m_number = record.m_run;
   run.m_vm = record.m_vm;
@@ -131,15 +134,15 @@
   task.m_last_run = std::max(task.m_last_run, record.m_run);
   step.m_last_run = std::max(step.m_last_run, record.m_run);
   ++step.m_open;
-  ++job->m_open_runs;
-  job->m_begun = true;
+  ++job.m_open_runs;
+  job.m_begun = true;
 
-  const Resources charge = job->m_spec.m_steps[record.m_task.m_step].Charge();
+  const Resources charge = spec.Charge();
   VmState& vm = VmOf(record.m_vm);
   vm.m_open[{record.m_task, record.m_run}] = charge;
   vm.m_used = vm.m_used + charge;
-  Resources& usage = m_team_usage[job->m_spec.m_team];
-  usage = usage + job->m_spec.m_steps[record.m_task.m_step].m_resources;
+  Resources& usage = m_team_usage[job.m_spec.m_team];
+  usage = usage + spec.m_resources;
   m_changed.push_back(record.m_task.m_job);
 }
 
@@ -246,20 +249,15 @@
 }
 
 void CellState::ApplyOne(const TaskSnapshot& record) {
-  Job* job = FindJob(record.m_task.m_job);
-  if (job == nullptr || record.m_task.m_step >= job->m_spec.m_steps.size()) {
-    return;
-  }
-  Occurrence& occurrence = job->OccurrenceAt(record.m_task.m_occurrence);
-  StepState& step = occurrence.m_steps[record.m_task.m_step];
-  if (record.m_task.m_index >= step.m_tasks.size()) {
+  const auto place = PlaceOf(record.m_task);
+  if (!place) {
     return;
   }
-  TaskState& task = step.m_tasks[record.m_task.m_index];
+  auto& [job, occurrence, step, spec, task] = *place;
   task.m_last_run = record.m_last_run;
   step.m_last_run = std::max(step.m_last_run, record.m_last_run);
   task.m_failures = record.m_failures;
-  if (job->m_spec.m_steps[record.m_task.m_step].m_gang) {
+  if (spec.m_gang) {
     step.m_gang_failures = record.m_failures;
     step.m_last_failed_run = record.m_last_run;
   }
@@ -267,7 +265,7 @@
   if (record.m_done) {
     MarkDone(occurrence, step, task);
     if (occurrence.Done()) {
-      ++job->m_done_occurrences;
+      ++job.m_done_occurrences;
     }
   }
 }
@@ -314,7 +312,6 @@
   std::vector<LogRecord> open;
   for (const auto& [id, job] : m_jobs) {
     records.push_back(JobAccepted{job->m_spec, job->m_accepted_unix_ms});
-    const bool ended = job->m_complete || job->m_failed || job->m_cancelled;
     for (const auto& [number, occurrence] : job->m_occurrences) {
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
         const StepState& step = occurrence.m_steps[s];
@@ -326,7 +323,7 @@
           }
           const TaskRef ref{id, number, s, t};
           // The result of an ended job needs no details of its tasks.
-          if (!ended) {
+          if (!job->Ended()) {
             records.push_back(
                 TaskSnapshot{ref, task.m_last_run,
                              gang ? step.m_gang_failures : task.m_failures,
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -46,7 +47,6 @@
   TaskState* FindTask(const TaskRef& task);
   StepState* FindStep(const TaskRef& task);
   OpenRun* FindRun(const TaskRef& task, std::uint32_t number);
-  const OpenRun* FindRun(const TaskRef& task, std::uint32_t number) const;
 
   // Drops jobs that ended before `unix_ms` and have no open runs.
   void DropEndedBefore(std::int64_t unix_ms);
@@ -62,6 +62,19 @@
   const std::map<std::string, Job*>& ActiveJobs() const { return m_active; }
 
  private:
+  // A task that a record is about, with what it belongs to.
+  struct TaskPlace {
+    Job& m_job;
+    Occurrence& m_occurrence;
+    StepState& m_step;
+    const StepSpec& m_spec;
+    TaskState& m_task;
+  };
+
+  // Creates the occurrence if it does not exist; nullopt if the job or the task
+  // is not known.
+  std::optional<TaskPlace> PlaceOf(const TaskRef& task);
+
   void ApplyOne(const JobAccepted& record);
   void ApplyOne(const JobCancelled& record);
   void ApplyOne(const RunPlanned& record);
--- a/Source/Core/cell/job_state.cc
+++ b/Source/Core/cell/job_state.cc
@@ -70,26 +70,25 @@
   });
 }
 
-std::int64_t Job::ChainMs(std::uint32_t step) const {
+std::vector<std::int64_t> Job::ChainsMs() const {
   // Dependencies point backwards, so one pass from the end is enough.
   const std::vector<StepSpec>& steps = m_spec.m_steps;
-  std::vector<std::int64_t> chain(steps.size(), 0);
+  std::vector<std::int64_t> chains(steps.size(), 0);
   const std::int64_t advice = AdviceMs(m_spec.m_queue);
-  for (std::size_t i = steps.size(); i-- > step;) {
-    chain[i] += steps[i].m_estimate_ms + advice;
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    chains[i] += steps[i].m_estimate_ms + advice;
     for (const std::uint32_t before : steps[i].m_after) {
-      chain[before] = std::max(chain[before], chain[i]);
+      chains[before] = std::max(chains[before], chains[i]);
     }
   }
-  return chain[step];
+  return chains;
 }
 
+std::int64_t Job::ChainMs(std::uint32_t step) const { return ChainsMs()[step]; }
+
 std::int64_t Job::LongestChainMs() const {
-  std::int64_t longest = 0;
-  for (std::uint32_t i = 0; i < m_spec.m_steps.size(); ++i) {
-    longest = std::max(longest, ChainMs(i));
-  }
-  return longest;
+  const std::vector<std::int64_t> chains = ChainsMs();
+  return chains.empty() ? 0 : *std::max_element(chains.begin(), chains.end());
 }
 
 std::int64_t Job::ObjectiveUnixMs(std::uint32_t occurrence) const {
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -35,8 +35,6 @@
   // planned, the time of the confirmation after that. 0: planned by an earlier
   // owner, whose starts the fence of this one stops.
   std::int64_t m_listed_after_vm_ms = 0;
-  // Volatile: the ticket for the start.
-  std::string m_ticket;
   // Volatile: when a stop was last sent; 0 for never.
   std::int64_t m_stop_sent_ms = 0;
   // Volatile: planned by this owner, and not yet in the store nor sent.
@@ -145,6 +143,8 @@
   std::int64_t ChainMs(std::uint32_t step) const;
   // The same over the whole job.
   std::int64_t LongestChainMs() const;
+  // The same for each step.
+  std::vector<std::int64_t> ChainsMs() const;
   // When the occurrence misses its objective, in Unix milliseconds.
   std::int64_t ObjectiveUnixMs(std::uint32_t occurrence) const;
 };
--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -19,9 +19,9 @@
 #include <vector>
 
 #include "cell/async_store.h"
-#include "cell/callback_guard.h"
 #include "cell/log_record.h"
 #include "cell/timer_loop.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -17,10 +17,10 @@
 #include <utility>
 
 #include "cell/async_store.h"
-#include "cell/callback_guard.h"
 #include "cell/owner_log.h"
 #include "cell/prefix_feed.h"
 #include "cell/timer_loop.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -89,7 +89,6 @@
   void Start() { m_feed.Start(); }
 
   bool Owns() const { return m_owned.has_value(); }
-  const std::optional<OwnerRecord>& Known() const { return m_known; }
 
   // The process in the record of this revision is known to be dead.
   void OnOwnerDead(Revision revision) {
--- a/Source/Core/cell/prefix_feed.h
+++ b/Source/Core/cell/prefix_feed.h
@@ -14,8 +14,8 @@
 #include <utility>
 
 #include "cell/async_store.h"
-#include "cell/callback_guard.h"
 #include "cell/timer_loop.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -30,9 +30,6 @@
     std::function<void(const std::string& key)> m_on_deleted;
     // A complete list was read: whatever is not in it does not exist.
     std::function<void(const std::set<std::string>& keys)> m_on_listed;
-    // The store answered a read of this prefix; called with the loop's steady
-    // clock at which the read was sent.
-    std::function<void(std::int64_t sent_ms)> m_on_fresh;
   };
 
   // `watch_wait_ms`: how long one watch waits; also how soon a silent
@@ -56,7 +53,6 @@
 
   void List() {
     m_listed.clear();
-    m_list_sent_ms = m_loop.Now().m_steady_ms;
     m_list_revision = 0;
     ListPage("");
   }
@@ -89,14 +85,13 @@
     if (m_handlers.m_on_listed) {
       m_handlers.m_on_listed(m_listed);
     }
-    Fresh(m_list_sent_ms);
+    OnAnswered();
     Watch();
   }
 
   void Watch() {
-    const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
     m_store.Watch(m_prefix, m_revision, m_watch_wait_ms,
-                  m_guard.Wrap([this, sent_ms](auto answer) {
+                  m_guard.Wrap([this](auto answer) {
                     if (!answer) {
                       // The watch may have missed events, or its history is
                       // gone.
@@ -104,7 +99,7 @@
                       return;
                     }
                     OnEvents(*answer);
-                    Fresh(sent_ms);
+                    OnAnswered();
                     Watch();
                   }));
   }
@@ -130,15 +125,12 @@
     RetryLater([this] { List(); });
   }
 
-  void Fresh(std::int64_t sent_ms) {
+  void OnAnswered() {
     if (m_failing) {
       m_failing = false;
       Log(LogLevel::kInfo, LogCategory::kStore, "store_regained",
           {{"prefix", m_prefix}, {"revision", m_revision}});
     }
-    if (m_handlers.m_on_fresh) {
-      m_handlers.m_on_fresh(sent_ms);
-    }
   }
 
   void RetryLater(std::function<void()> task) {
@@ -154,7 +146,6 @@
   const Handlers m_handlers;
   CallbackGuard m_guard;
   std::set<std::string> m_listed;
-  std::int64_t m_list_sent_ms = 0;
   Revision m_list_revision = 0;
   Revision m_revision = 0;
   std::int64_t m_retry_ms = kFirstRetryMs;
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -185,11 +185,6 @@
     return FitCount(candidate.m_spec->m_resources, room);
   }
 
-  bool MayRun(const Candidate& candidate, const Slot& slot) const {
-    const std::string& label = candidate.m_spec->m_required_label;
-    return label.empty() || slot.m_vm->HasLabel(label);
-  }
-
   // How many tasks of the step may still go to the VM, by its own rule.
   std::int64_t PerVmRoom(const Candidate& candidate, const Slot& slot) const {
     if (candidate.m_spec->m_max_per_vm == 0) {
@@ -276,8 +271,8 @@
                  std::vector<Slot>& slots) {
     Slot* best = nullptr;
     for (Slot& slot : slots) {
-      if (!HasTicket(candidate, slot) || !MayRun(candidate, slot) ||
-          Fit(candidate, slot) < 1) {
+      if (!HasTicket(candidate, slot) ||
+          !slot.m_vm->MayRun(*candidate.m_spec) || Fit(candidate, slot) < 1) {
         continue;
       }
       if (best == nullptr ||
@@ -376,7 +371,8 @@
         const bool good = KnownGood(candidate, slot);
         // Known verdicts first: they cannot disappoint.
         if (good != (round == 0) || KnownBad(candidate, slot) ||
-            HasTicket(candidate, slot) || !MayRun(candidate, slot)) {
+            HasTicket(candidate, slot) ||
+            !slot.m_vm->MayRun(*candidate.m_spec)) {
           continue;
         }
         const std::int64_t fit = Fit(candidate, slot);
@@ -457,7 +453,7 @@
       return;
     }
     auto room = GangRoom(candidate, slots, [&](const Slot& slot) {
-      return MayRun(candidate, slot) && HasTicket(candidate, slot);
+      return slot.m_vm->MayRun(*candidate.m_spec) && HasTicket(candidate, slot);
     });
     if (Total(room) >= tasks) {
       if (candidate.m_spec->m_same_rack ||
@@ -494,7 +490,7 @@
       return;
     }
     const auto advised = GangRoom(candidate, slots, [&](const Slot& slot) {
-      return MayRun(candidate, slot) && KnownGood(candidate, slot);
+      return slot.m_vm->MayRun(*candidate.m_spec) && KnownGood(candidate, slot);
     });
     const std::int64_t missing = tasks - Total(advised);
     std::vector<std::string> vms;
@@ -539,7 +535,8 @@
     const double share =
         m_scheduler.GoodShare(candidate.m_job->m_spec.m_queue.m_name);
     const auto room = GangRoom(candidate, slots, [&](const Slot& slot) {
-      return MayRun(candidate, slot) && AdviceFor(candidate, slot) == nullptr;
+      return slot.m_vm->MayRun(*candidate.m_spec) &&
+             AdviceFor(candidate, slot) == nullptr;
     });
     const double wanted = static_cast<double>(tasks) * kAskSurplus;
     double expected = 0;
@@ -567,7 +564,8 @@
     const bool advised = candidate.m_job->m_spec.m_queue.m_needs_advice;
     std::vector<Slot*> usable;
     for (Slot& slot : slots) {
-      if (slot.m_free.m_cpu_millis > 0 && MayRun(candidate, slot) &&
+      if (slot.m_free.m_cpu_millis > 0 &&
+          slot.m_vm->MayRun(*candidate.m_spec) &&
           (!advised || KnownGood(candidate, slot))) {
         usable.push_back(&slot);
       }
--- a/Source/Core/cell/vm_holder.h
+++ b/Source/Core/cell/vm_holder.h
@@ -13,6 +13,7 @@
 #include "cell/cell_platform.h"
 #include "cell/timer_loop.h"
 #include "cell/vm_pace.h"
+#include "common/callback_guard.h"
 #include "common/logger.h"
 
 namespace mustardslip {
@@ -33,9 +34,7 @@
         m_loop(loop),
         m_core(core),
         m_fence(fence),
-        m_handlers(std::move(handlers)),
-        m_alive(std::make_shared<bool>(true)) {}
-  ~VmHolder() { *m_alive = false; }
+        m_handlers(std::move(handlers)) {}
 
   VmHolder(const VmHolder&) = delete;
   VmHolder& operator=(const VmHolder&) = delete;
@@ -112,12 +111,10 @@
     call.m_wait_ms = order.m_wait_ms;
     call.m_acknowledged_end = order.m_last_end;
     const std::uint64_t number = ++call.m_number;
-    m_vms.Hold(order, [this, alive = m_alive, life = order.m_vm,
-                       number](Result<VmReport> report) {
-      if (*alive) {
-        OnAnswer(life, number, std::move(report));
-      }
-    });
+    m_vms.Hold(order, m_guard.Wrap([this, life = order.m_vm,
+                                    number](Result<VmReport> report) {
+      OnAnswer(life, number, std::move(report));
+    }));
   }
 
   // Nothing runs there, and the VM knows that its ends are in the store.
@@ -186,7 +183,7 @@
   CellCore& m_core;
   const std::int64_t m_fence;
   const Handlers m_handlers;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   std::map<VmLife, Call> m_calls;
   std::int64_t m_idle_gap_ms = kIdleGapMs;
 };
--- a/Source/Core/cell/vm_state.cc
+++ b/Source/Core/cell/vm_state.cc
@@ -25,4 +25,13 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+std::vector<RunKey> VmState::OpenRuns() const {
+  std::vector<RunKey> runs;
+  runs.reserve(m_open.size());
+  for (const auto& [key, charge] : m_open) {
+    runs.push_back(key);
+  }
+  return runs;
+}
+
 }  // namespace mustardslip
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -87,6 +87,11 @@
   const VmLife& Life() const { return m_description.m_life; }
   Resources Free() const { return m_description.m_capacity - m_used; }
   bool HasLabel(const std::string& label) const;
+  // The step's required label, if any, is there.
+  bool MayRun(const StepSpec& step) const {
+    return step.m_required_label.empty() || HasLabel(step.m_required_label);
+  }
+  std::vector<RunKey> OpenRuns() const;
   // Starts should go to other VMs for now.
   bool Avoided(std::int64_t now_ms) const {
     return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
