--- a/Source/Core/admission/retry_budget.h
+++ b/Source/Core/admission/retry_budget.h
@@ -1,7 +1,7 @@
 // A budget that bounds retries to a fraction of the first attempts.
 #pragma once
 
-#include "common/clock.h"
+#include "common/token_bucket.h"
 
 namespace mustardslip {
 
@@ -18,19 +18,16 @@
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetOptions options = {})
-      : m_options(options), m_tokens(options.m_burst) {}
+      : m_ratio(options.m_ratio),
+        m_tokens(options.m_per_second, options.m_burst) {}
 
-  void OnFirstAttempt();
+  void OnFirstAttempt() { m_tokens.Add(m_ratio); }
   // True if one more retry is within the budget.
-  bool TryRetry(TimePoint now);
+  bool TryRetry(TimePoint now) { return m_tokens.Take(now); }
 
  private:
-  void Refill(TimePoint now);
-
-  RetryBudgetOptions m_options;
-  // Between 0 and m_burst.
-  double m_tokens;
-  TimePoint m_refilled{};
+  double m_ratio;
+  TokenBucket m_tokens;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/team_rate.h
+++ b/Source/Core/cell/team_rate.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <string>
 
+#include "common/token_bucket.h"
+
 namespace mustardslip {
 
 class TeamRate {
@@ -14,37 +16,18 @@
   // Counts one job; false if the team is beyond `jobs_per_s`.
   bool Take(const std::string& team, std::int64_t jobs_per_s,
             std::int64_t now_ms) {
-    constexpr double kMsPerSecond = 1'000;
-    const double most =
-        static_cast<double>(std::max<std::int64_t>(1, jobs_per_s)) * kBurstS;
-    const auto [found, created] = m_buckets.try_emplace(team);
-    Bucket& bucket = found->second;
-    if (created) {
-      bucket.m_tokens = most;
-    } else {
-      const auto elapsed =
-          static_cast<double>(now_ms - bucket.m_filled_ms) / kMsPerSecond;
-      bucket.m_tokens = std::min(
-          most, bucket.m_tokens + elapsed * static_cast<double>(jobs_per_s));
-    }
-    bucket.m_filled_ms = now_ms;
-    if (bucket.m_tokens < 1) {
-      return false;
-    }
-    bucket.m_tokens -= 1;
-    return true;
+    const auto rate = static_cast<double>(jobs_per_s);
+    const double most = std::max(1.0, rate) * kBurstS;
+    TokenBucket& bucket = m_buckets.try_emplace(team, rate, most).first->second;
+    bucket.SetRate(rate, most);
+    return bucket.Take(TimePoint(Milliseconds(now_ms)));
   }
 
  private:
   // A team may send this many seconds' worth at once.
   static constexpr double kBurstS = 3;
 
-  struct Bucket {
-    double m_tokens = 0;
-    std::int64_t m_filled_ms = 0;
-  };
-
-  std::map<std::string, Bucket> m_buckets;
+  std::map<std::string, TokenBucket> m_buckets;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/common/logger.cc
+++ b/Source/Core/common/logger.cc
@@ -6,13 +6,14 @@
 #include <poll.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <mutex>
 
+#include "common/token_bucket.h"
+
 namespace mustardslip {
 namespace {
 
@@ -26,31 +27,6 @@
 // A line up to this size is written to a pipe whole or not at all.
 constexpr std::size_t kMaxLineBytes = 4'096;
 
-// Bounds the lines of one kind per second.
-class LineBudget {
- public:
-  LineBudget(double lines_per_s, double burst)
-      : m_lines_per_s(lines_per_s), m_burst(burst), m_tokens(burst) {}
-
-  bool Take(std::chrono::steady_clock::time_point now) {
-    const std::chrono::duration<double> passed = now - m_filled;
-    m_filled = now;
-    m_tokens = std::min(m_burst, m_tokens + passed.count() * m_lines_per_s);
-    if (m_tokens < 1) {
-      return false;
-    }
-    m_tokens -= 1;
-    return true;
-  }
-
- private:
-  const double m_lines_per_s;
-  const double m_burst;
-  double m_tokens;
-  std::chrono::steady_clock::time_point m_filled =
-      std::chrono::steady_clock::now();
-};
-
 // Requests make most lines; warnings have a budget of their own, so that they
 // are not lost behind them.
 constexpr double kLinesPerSecond = 500;
@@ -79,8 +55,8 @@
 }
 
 bool TakeFromBudget(LogLevel level) {
-  static LineBudget lines(kLinesPerSecond, kLineBurst);
-  static LineBudget warnings(kWarningsPerSecond, kWarningBurst);
+  static TokenBucket lines(kLinesPerSecond, kLineBurst);
+  static TokenBucket warnings(kWarningsPerSecond, kWarningBurst);
   const auto now = std::chrono::steady_clock::now();
   return level >= LogLevel::kWarning ? warnings.Take(now) : lines.Take(now);
 }
--- a/Source/Core/jobs/request_book.cc
+++ b/Source/Core/jobs/request_book.cc
@@ -4,20 +4,11 @@
 #include <algorithm>
 
 #include "common/random_id.h"
+#include "transport/http_status.h"
 
 namespace mustardslip {
 namespace {
 
-// HTTP status codes of outcomes that the system itself decides.
-constexpr int kBadRequest = 400;
-constexpr int kNotFoundStatus = 404;
-constexpr int kConflictStatus = 409;
-constexpr int kGone = 410;
-constexpr int kUnprocessable = 422;
-constexpr int kTooManyRequests = 429;
-constexpr int kServerError = 500;
-constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr std::int64_t kMillisPerSecond = 1000;
 
 ServiceResponse MakeResponse(Outcome outcome, int status, std::string reason) {
@@ -28,11 +19,12 @@
 ServiceResponse FromRecord(RecordState state) {
   switch (state) {
     case RecordState::kDone:
-      return MakeResponse(Outcome::kDone, kGone, "answer_expired");
+      return MakeResponse(Outcome::kDone, HttpStatus::kGone, "answer_expired");
     case RecordState::kFailed:
-      return MakeResponse(Outcome::kFailed, kGone, "answer_expired");
+      return MakeResponse(Outcome::kFailed, HttpStatus::kGone,
+                          "answer_expired");
     default:
-      return MakeResponse(Outcome::kOutcomeUnknown, kConflictStatus,
+      return MakeResponse(Outcome::kOutcomeUnknown, HttpStatus::kConflict,
                           "no_end_recorded");
   }
 }
@@ -99,20 +91,20 @@
     return std::nullopt;
   }
   if (call.m_idempotency_key.empty()) {
-    return NotRun(kBadRequest, "key_required", false);
+    return NotRun(HttpStatus::kBadRequest, "key_required", false);
   }
   const Result<std::int64_t> issued =
       ParseIdempotencyKey(call.m_idempotency_key);
   if (!issued) {
-    return NotRun(kBadRequest, issued.error().Reason(), false);
+    return NotRun(HttpStatus::kBadRequest, issued.error().Reason(), false);
   }
   switch (CheckKeyAge(*issued, moment.m_unix_ms / kMillisPerSecond)) {
     case KeyAge::kTooOld:
       // Its record may be gone already.
-      return MakeResponse(Outcome::kOutcomeUnknown, kConflictStatus,
+      return MakeResponse(Outcome::kOutcomeUnknown, HttpStatus::kConflict,
                           "key_too_old");
     case KeyAge::kFromFuture:
-      return NotRun(kBadRequest, "key_from_future", false);
+      return NotRun(HttpStatus::kBadRequest, "key_from_future", false);
     default:
       return std::nullopt;
   }
@@ -123,7 +115,8 @@
                               const std::string& content,
                               ServiceResponder& responder,
                               const MarkLookup& find_record, TimePoint now) {
-  const ServiceResponse reused = NotRun(kUnprocessable, "key_reused", false);
+  const ServiceResponse reused =
+      NotRun(HttpStatus::kUnprocessable, "key_reused", false);
   const auto open = m_by_record.find(record);
   if (open != m_by_record.end()) {
     Request& request = m_open.at(open->second);
@@ -155,17 +148,17 @@
 std::optional<ServiceResponse> RequestBook::CheckRoom(const ServiceCall& call,
                                                       bool has_service) const {
   if (!has_service) {
-    return NotRun(kNotFoundStatus, "service_not_found", false);
+    return NotRun(HttpStatus::kNotFound, "service_not_found", false);
   }
   const auto team = m_open_of_team.find(call.m_team);
   if (team != m_open_of_team.end() &&
       team->second >= m_options.m_max_open_per_team) {
-    return NotRun(kTooManyRequests, "team_queue_full", true);
+    return NotRun(HttpStatus::kTooManyRequests, "team_queue_full", true);
   }
   const auto service = m_services.find({call.m_team, call.m_service});
   if (service != m_services.end() &&
       service->second.m_waiting.size() >= m_options.m_max_waiting_per_service) {
-    return NotRun(kTooManyRequests, "service_queue_full", true);
+    return NotRun(HttpStatus::kTooManyRequests, "service_queue_full", true);
   }
   return std::nullopt;
 }
@@ -222,7 +215,8 @@
       m_open.at(found->second).m_phase != Phase::kRecording) {
     return;
   }
-  Finish(found->second, NotRun(kServiceUnavailable, error.Reason(), true),
+  Finish(found->second,
+         NotRun(HttpStatus::kServiceUnavailable, error.Reason(), true),
          moment.m_now);
 }
 
@@ -276,9 +270,9 @@
     Refused(id, result.error(), moment);
   } else {
     const Result<ServeReply> reply = ReadHeader<ServeReply>(*result);
-    const int status = reply ? reply->m_status : kServerError;
+    const int status = reply ? reply->m_status : HttpStatus::kServerError;
     const Outcome outcome =
-        status < kServerError ? Outcome::kDone : Outcome::kFailed;
+        status < HttpStatus::kServerError ? Outcome::kDone : Outcome::kFailed;
     Finish(id, {{outcome, status, "", 0}, result->m_payload}, moment.m_now);
   }
   SendWaiting(name, moment);
@@ -287,21 +281,23 @@
 void RequestBook::Refused(std::uint64_t id, const Error& error, Moment moment) {
   Request& request = m_open.at(id);
   if (!error.HadNoEffect()) {
-    Finish(
-        id,
-        MakeResponse(Outcome::kOutcomeUnknown, kGatewayTimeout, error.Reason()),
-        moment.m_now);
+    Finish(id,
+           MakeResponse(Outcome::kOutcomeUnknown, HttpStatus::kGatewayTimeout,
+                        error.Reason()),
+           moment.m_now);
     return;
   }
   m_services[NameOf(request)].m_refused_until[request.m_group] =
       moment.m_now + m_options.m_refused_pause;
   if (error.Code() == ErrorCode::kInvalidArgument) {
-    Finish(id, NotRun(kBadRequest, error.Reason(), false), moment.m_now);
+    Finish(id, NotRun(HttpStatus::kBadRequest, error.Reason(), false),
+           moment.m_now);
   } else if (request.m_deadline <= moment.m_now) {
-    Finish(id, NotRun(kServiceUnavailable, "deadline_passed", true),
+    Finish(id, NotRun(HttpStatus::kServiceUnavailable, "deadline_passed", true),
            moment.m_now);
   } else if (!m_budget.TryRetry(moment.m_now)) {
-    Finish(id, NotRun(kTooManyRequests, "retry_budget", true), moment.m_now);
+    Finish(id, NotRun(HttpStatus::kTooManyRequests, "retry_budget", true),
+           moment.m_now);
   } else {
     Wait(id, request, true);
   }
@@ -366,7 +362,7 @@
 
 void RequestBook::EndUnsent(std::uint64_t id, const std::string& reason,
                             TimePoint now) {
-  Finish(id, NotRun(kServiceUnavailable, reason, true), now);
+  Finish(id, NotRun(HttpStatus::kServiceUnavailable, reason, true), now);
 }
 
 void RequestBook::Abandon(Moment moment) {
@@ -377,8 +373,8 @@
   for (const std::uint64_t id : ids) {
     if (m_open.at(id).m_phase == Phase::kSending) {
       Finish(id,
-             MakeResponse(Outcome::kOutcomeUnknown, kServiceUnavailable,
-                          "owner_stopped"),
+             MakeResponse(Outcome::kOutcomeUnknown,
+                          HttpStatus::kServiceUnavailable, "owner_stopped"),
              moment.m_now);
     } else {
       EndUnsent(id, "owner_moved", moment.m_now);
--- a/Source/Core/jobs/team_shard_calls.h
+++ b/Source/Core/jobs/team_shard_calls.h
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/http_status.h"
+
 namespace mustardslip {
 
 // ---------------------------------------------------------------------------
@@ -165,10 +167,9 @@
   Update([&](Deferred& deferred) {
     const Result<void> state = CheckState();
     if (!state) {
-      constexpr int kServiceUnavailableStatus = 503;
-      const ServiceCallReply reply{Outcome::kNotRun, kServiceUnavailableStatus,
-                                   state.error().Reason(),
-                                   m_options.m_requests.m_retry_after.count()};
+      const ServiceCallReply reply{
+          Outcome::kNotRun, HttpStatus::kServiceUnavailable,
+          state.error().Reason(), m_options.m_requests.m_retry_after.count()};
       deferred.push_back([done, reply] { done(reply, ""); });
       return;
     }
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -1,21 +1,19 @@
 // evhttp behind the interface of event_http.h.
 #include "transport/event_http.h"
 
+#include <absl/strings/ascii.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/core.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <algorithm>
-#include <cctype>
 #include <set>
 #include <stdexcept>
 
-#include "common/logger.h"
+#include "common/callback_guard.h"
+#include "transport/socket_util.h"
 
 namespace mustardslip {
 namespace {
@@ -61,21 +59,6 @@
   return body;
 }
 
-timeval ToTimeval(Milliseconds duration) {
-  constexpr std::int64_t kMsPerSecond = 1'000;
-  constexpr std::int64_t kUsPerMs = 1'000;
-  return {static_cast<time_t>(duration.count() / kMsPerSecond),
-          static_cast<suseconds_t>(duration.count() % kMsPerSecond * kUsPerMs)};
-}
-
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char character) {
-                   return static_cast<char>(std::tolower(character));
-                 });
-  return text;
-}
-
 }  // namespace
 
 // --- Client ---
@@ -83,12 +66,9 @@
 class EventHttpClient::Implementation {
  public:
   Implementation(Reactor& reactor, std::size_t most_idle)
-      : m_reactor(reactor),
-        m_alive(std::make_shared<bool>(true)),
-        m_most_idle(most_idle) {}
+      : m_reactor(reactor), m_most_idle(most_idle) {}
 
   ~Implementation() {
-    *m_alive = false;
     for (evhttp_connection* connection : m_all) {
       evhttp_connection_free(connection);
     }
@@ -198,25 +178,23 @@
     answer.m_body = TakeBody(evhttp_request_get_input_buffer(request));
     const char* connection = evhttp_find_header(
         evhttp_request_get_input_headers(request), "Connection");
-    const bool keep = connection == nullptr || LowerCase(connection) != "close";
+    const bool keep =
+        connection == nullptr || absl::AsciiStrToLower(connection) != "close";
     client->Finish(exchange, std::move(answer), keep);
   }
 
   // The connection is inside its callback: it is put back or freed later.
   void Finish(Exchange* raw, Result<HttpResponse> result, bool keep) {
     auto exchange = std::shared_ptr<Exchange>(raw);
-    m_reactor.After(0, [this, alive = m_alive, exchange, keep,
-                        result = std::move(result)]() mutable {
-      if (!*alive) {
-        return;
-      }
+    m_reactor.After(0, m_guard.Wrap([this, exchange, keep,
+                                     result = std::move(result)]() mutable {
       Release(exchange->m_peer, exchange->m_connection, keep);
       if (!result) {
         // Connections may go silent together; new ones show it.
         Forget(exchange->m_peer);
       }
       exchange->m_done(std::move(result));
-    });
+    }));
   }
 
   void Release(const Endpoint& peer, evhttp_connection* connection, bool keep) {
@@ -235,7 +213,7 @@
   }
 
   Reactor& m_reactor;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   const std::size_t m_most_idle;
   // Connections in m_idle, over all peers.
   std::size_t m_idle_count = 0;
@@ -266,7 +244,7 @@
  public:
   Implementation(Reactor& reactor, const Endpoint& endpoint,
                  EventHttpLimits limits, Handler handler)
-      : m_handler(std::move(handler)), m_alive(std::make_shared<bool>(true)) {
+      : m_handler(std::move(handler)) {
     m_server = evhttp_new(reactor.Base());
     Invariant(m_server != nullptr, "evhttp gave no server");
     evhttp_set_max_headers_size(m_server,
@@ -287,10 +265,7 @@
     }
   }
 
-  ~Implementation() {
-    *m_alive = false;
-    evhttp_free(m_server);
-  }
+  ~Implementation() { evhttp_free(m_server); }
 
   void CloseAfterAnswers() { m_closing = true; }
   std::size_t InFlight() const { return m_in_flight; }
@@ -307,7 +282,7 @@
     }
     for (const evkeyval* one = fields.tqh_first; one != nullptr;
          one = one->next.tqe_next) {
-      request.m_query[LowerCase(one->key)] = one->value;
+      request.m_query[absl::AsciiStrToLower(one->key)] = one->value;
     }
     evhttp_clear_headers(&fields);
   }
@@ -327,17 +302,15 @@
     evkeyvalq* headers = evhttp_request_get_input_headers(raw);
     for (const evkeyval* one = headers->tqh_first; one != nullptr;
          one = one->next.tqe_next) {
-      request.m_headers[LowerCase(one->key)] = one->value;
+      request.m_headers[absl::AsciiStrToLower(one->key)] = one->value;
     }
     request.m_body = TakeBody(evhttp_request_get_input_buffer(raw));
     ++m_in_flight;
     m_handler(std::move(request),
-              [this, raw, alive = m_alive](HttpResponse reply) {
-                if (*alive) {
-                  --m_in_flight;
-                  Send(raw, reply);
-                }
-              });
+              m_guard.Wrap([this, raw](const HttpResponse& reply) {
+                --m_in_flight;
+                Send(raw, reply);
+              }));
   }
 
   void Send(evhttp_request* raw, const HttpResponse& reply) {
@@ -359,7 +332,7 @@
   }
 
   Handler m_handler;
-  std::shared_ptr<bool> m_alive;
+  CallbackGuard m_guard;
   evhttp* m_server = nullptr;
   bool m_closing = false;
   std::size_t m_in_flight = 0;
--- a/Source/Core/transport/http_client.cc
+++ b/Source/Core/transport/http_client.cc
@@ -1,6 +1,7 @@
 // Adapts cxxtools' HTTP client to HttpCall and HttpResponse.
 #include "transport/http_client.h"
 
+#include <absl/strings/ascii.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 #include <fmt/core.h>
@@ -28,12 +29,7 @@
   response.m_status = static_cast<int>(reply.httpReturnCode());
   for (auto field = reply.header().begin(); field != reply.header().end();
        ++field) {
-    std::string name = field->first;
-    for (char& character : name) {
-      character = static_cast<char>(
-          std::tolower(static_cast<unsigned char>(character)));
-    }
-    response.m_headers[std::move(name)] = field->second;
+    response.m_headers[absl::AsciiStrToLower(field->first)] = field->second;
   }
   response.m_body = reply.body();
   return response;
--- a/Source/Core/transport/http_server.cc
+++ b/Source/Core/transport/http_server.cc
@@ -1,6 +1,7 @@
 // Adapts cxxtools' HTTP server to HttpRequest and HttpResponse.
 #include "transport/http_server.h"
 
+#include <absl/strings/ascii.h>
 #include <cxxtools/connectable.h>
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -12,7 +13,6 @@
 #include <strings.h>
 
 #include <atomic>
-#include <cctype>
 #include <charconv>
 #include <exception>
 #include <istream>
@@ -33,14 +33,6 @@
 // Connections that wait to be accepted; the kernel's usual upper limit.
 constexpr int kListenBacklog = 4'096;
 
-std::string LowerCase(std::string text) {
-  for (char& character : text) {
-    character =
-        static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
-  }
-  return text;
-}
-
 int HexDigit(char character) {
   if (character >= '0' && character <= '9') {
     return character - '0';
@@ -251,7 +243,7 @@
   message.m_query = ParseQuery(request.qparams());
   for (auto field = request.header().begin(); field != request.header().end();
        ++field) {
-    message.m_headers[LowerCase(field->first)] = field->second;
+    message.m_headers[absl::AsciiStrToLower(field->first)] = field->second;
   }
   message.m_body = std::move(m_body);
   m_body.clear();
--- a/Source/Core/transport/message_link.cc
+++ b/Source/Core/transport/message_link.cc
@@ -1,39 +1,23 @@
 // bufferevents behind the interface of message_link.h.
 #include "transport/message_link.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <fmt/core.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <cerrno>
 #include <stdexcept>
 
 #include "transport/rpc.h"
+#include "transport/socket_util.h"
 
 namespace mustardslip {
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
 
-sockaddr_in ToAddress(const Endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.m_port);
-  inet_pton(AF_INET, endpoint.m_host.c_str(), &address.sin_addr);
-  return address;
-}
-
-void SendAtOnce(int socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 }  // namespace
 
 MessageLink::MessageLink(Reactor& reactor, const Endpoint& peer,
@@ -43,10 +27,10 @@
       m_alive(std::make_shared<bool>(true)) {
   m_stream = bufferevent_socket_new(reactor.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
   Install();
-  const sockaddr_in address = ToAddress(peer);
-  if (bufferevent_socket_connect(m_stream,
-                                 reinterpret_cast<const sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+  const auto address = ToSocketAddress(peer);
+  if (!address || bufferevent_socket_connect(
+                      m_stream, reinterpret_cast<const sockaddr*>(&*address),
+                      sizeof(*address)) != 0) {
     // Reported later, as the owner of the link is still being built.
     m_reactor.After(0, [this, alive = m_alive] {
       if (*alive) {
@@ -62,7 +46,7 @@
       m_alive(std::make_shared<bool>(true)) {
   m_stream =
       bufferevent_socket_new(reactor.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
-  SendAtOnce(socket);
+  SendWithoutDelay(socket);
   Install();
 }
 
@@ -91,12 +75,6 @@
   evbuffer_add(out, bytes.data(), bytes.size());
 }
 
-std::size_t MessageLink::Backlog() const {
-  return m_stream == nullptr
-             ? 0
-             : evbuffer_get_length(bufferevent_get_output(m_stream));
-}
-
 void MessageLink::OnRead(bufferevent*, void* context) {
   static_cast<MessageLink*>(context)->ReadMessages();
 }
@@ -134,7 +112,7 @@
                           void* context) {
   auto* link = static_cast<MessageLink*>(context);
   if ((events & BEV_EVENT_CONNECTED) != 0) {
-    SendAtOnce(bufferevent_getfd(link->m_stream));
+    SendWithoutDelay(bufferevent_getfd(link->m_stream));
     if (link->m_handlers.m_on_connected) {
       link->m_handlers.m_on_connected();
     }
@@ -163,7 +141,10 @@
                                  Accept accept)
     : m_accept(std::move(accept)) {
   constexpr int kBacklog = 512;
-  const sockaddr_in address = ToAddress(endpoint);
+  const auto address = ToSocketAddress(endpoint);
+  if (!address) {
+    throw std::runtime_error("not an IPv4 address: " + endpoint.m_host);
+  }
   m_listener = evconnlistener_new_bind(
       reactor.Base(),
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int,
@@ -171,7 +152,7 @@
         static_cast<MessageListener*>(context)->m_accept(socket);
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
-      reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
   if (m_listener == nullptr) {
     throw std::runtime_error(fmt::format("cannot listen on {}:{}",
                                          endpoint.m_host, endpoint.m_port));
--- a/Source/Core/transport/message_link.h
+++ b/Source/Core/transport/message_link.h
@@ -39,8 +39,6 @@
   MessageLink& operator=(const MessageLink&) = delete;
 
   void Send(const RpcMessage& message);
-  // Bytes that wait to be sent.
-  std::size_t Backlog() const;
 
  private:
   static void OnRead(bufferevent*, void* context);
--- a/Source/Core/transport/reactor.h
+++ b/Source/Core/transport/reactor.h
@@ -14,6 +14,7 @@
 
 #include "cell/cell_types.h"
 #include "common/result.h"
+#include "transport/socket_util.h"
 
 namespace mustardslip {
 
@@ -42,8 +43,7 @@
   void After(std::int64_t ms, std::function<void()> task) {
     auto timer = std::make_unique<Timer>();
     timer->m_task = std::move(task);
-    const timeval delay = {static_cast<time_t>(ms / 1000),
-                           static_cast<suseconds_t>(ms % 1000 * 1000)};
+    const timeval delay = ToTimeval(Milliseconds(ms));
     // The callback owns the timer.
     event_base_once(m_base.get(), -1, EV_TIMEOUT, &Reactor::OnTimer,
                     timer.release(), &delay);
--- a/Source/Core/transport/rpc_client.cc
+++ b/Source/Core/transport/rpc_client.cc
@@ -1,8 +1,4 @@
 // The calling end of the calls between daemons.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <array>
 #include <future>
 #include <map>
@@ -11,18 +7,13 @@
 #include "transport/event_loop.h"
 #include "transport/http2_session.h"
 #include "transport/rpc.h"
+#include "transport/socket_util.h"
 
 namespace mustardslip {
 namespace {
 
 constexpr Milliseconds kConnectTimeout{1'000};
 
-timeval ToTimeval(Milliseconds duration) {
-  const auto count = duration.count();
-  return {static_cast<time_t>(count / 1000),
-          static_cast<suseconds_t>(count % 1000 * 1000)};
-}
-
 }  // namespace
 
 // All state lives on the loop's thread.
@@ -123,10 +114,8 @@
 
 RpcClient::Implementation::Peer* RpcClient::Implementation::ConnectPeer(
     const Endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.m_port);
-  if (inet_pton(AF_INET, endpoint.m_host.c_str(), &address.sin_addr) != 1) {
+  const auto address = ToSocketAddress(endpoint);
+  if (!address) {
     return nullptr;
   }
   auto peer = std::make_unique<Peer>();
@@ -152,8 +141,8 @@
   const timeval limit = ToTimeval(kConnectTimeout);
   bufferevent_set_timeouts(peer->m_buffer.get(), nullptr, &limit);
   if (bufferevent_socket_connect(peer->m_buffer.get(),
-                                 reinterpret_cast<sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+                                 reinterpret_cast<const sockaddr*>(&*address),
+                                 sizeof(*address)) != 0) {
     return nullptr;
   }
   Peer* raw = peer.get();
@@ -220,9 +209,7 @@
     peer->m_client->ClosePeer(peer);
     return;
   }
-  const int enabled = 1;
-  setsockopt(bufferevent_getfd(buffer), IPPROTO_TCP, TCP_NODELAY, &enabled,
-             sizeof(enabled));
+  SendWithoutDelay(bufferevent_getfd(buffer));
   bufferevent_set_timeouts(buffer, nullptr, nullptr);
   peer->m_connected = true;
   std::vector<PendingCall*> waiting;
--- a/Source/Core/transport/rpc_server.cc
+++ b/Source/Core/transport/rpc_server.cc
@@ -1,8 +1,5 @@
 // The answering end of the calls between daemons.
-#include <arpa/inet.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <array>
 #include <atomic>
@@ -16,6 +13,7 @@
 #include "transport/event_loop.h"
 #include "transport/http2_session.h"
 #include "transport/rpc.h"
+#include "transport/socket_util.h"
 
 namespace mustardslip {
 namespace {
@@ -88,17 +86,15 @@
 };
 
 void RpcServer::Implementation::Listen(const Endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.m_port);
-  if (inet_pton(AF_INET, endpoint.m_host.c_str(), &address.sin_addr) != 1) {
+  const auto address = ToSocketAddress(endpoint);
+  if (!address) {
     throw std::runtime_error("not an IPv4 address: " + endpoint.m_host);
   }
   constexpr int kBacklog = 1024;
   m_listener = evconnlistener_new_bind(
       m_loop.Base(), &Implementation::OnAccept, this,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
-      reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
   if (m_listener == nullptr) {
     throw std::runtime_error("cannot listen on " + ToString(endpoint) + ": " +
                              std::strerror(errno));
@@ -129,8 +125,7 @@
 }
 
 void RpcServer::Implementation::Accept(evutil_socket_t socket_fd) {
-  const int enabled = 1;
-  setsockopt(socket_fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  SendWithoutDelay(socket_fd);
   evutil_make_socket_nonblocking(socket_fd);
   auto connection = std::make_unique<Connection>();
   connection->m_server = this;
