--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -30,7 +30,10 @@
 // A start is refused by the VM if it arrives later than this after it was sent.
 inline constexpr std::int64_t kStartWindowMs = 600;
 
-// What the caller of a submission gets beside the job's own checks.
+// When a caller that was refused because the store takes no writes may return.
+inline constexpr std::int64_t kRetryWithoutStoreMs = 1'000;
+
+// What happened since this daemon owns the cell.
 struct CellCounters {
   std::uint64_t m_accepted = 0;
   std::uint64_t m_refused = 0;
