Serve fleets of 3,000 VMs: starts on idle VMs, bounded looks and connections

(1) Idle VMs are looked at every 7.5 s there, but a planned start was given up at its release if the VM's last answer was older than 2.6 s, as the plan itself had made the VM busy: starts were planned and given up up to 15 times in a row, 50 ms apart. (2) An owner that took over called all VMs in the same tick, twice if answers took 200 ms: 3,896 descriptors, and accept() failed for callers and other daemons. (3) Nothing bounded connections to VMs.

Ruled out: processor time (28 to 38 %), memory (33 MB), the link.

Change: a VM counts as silent when a look that was sent is not answered, not by the age of its last answer. At most 200 short looks are open, 50 of them at VMs that left the last one unanswered, and VMs take turns; at most half of the descriptors hold VMs, beyond that VMs with work are polled. The HTTP client has a limit of open connections; calls beyond it wait, and end as not sent when their time is over.

--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -476,5 +476,35 @@
   EXPECT_EQ(PhaseOf(2), JobPhase::kComplete);
 }
 
+// Fails if a VM counts as silent because nobody looked at it: in a fleet of
+// 3,000 VMs idle ones are looked at every 7.5 s, and each start planned on one
+// of them was given up and planned again until the next look.
+TEST_F(CellCoreTest, StartsOnVmThatWasIdleForLong) {
+  constexpr std::int64_t kLongIdleMs = 8'000;
+  m_cell.AddVm("vm-0", {64'000, 128'000, 0});
+  m_cell.Run(100);
+  m_cell.RunWithoutLooks(kLongIdleMs);
+  m_cell.Submit(m_cell.Job(1, {m_cell.Step(2, 1'000)}));
+  m_cell.RunWithoutLooks(10);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a VM gets starts while a look at it is not answered.
+TEST_F(CellCoreTest, StartsNothingOnVmThatLeavesALookUnanswered) {
+  constexpr std::int64_t kLongerThanAnyAnswerMs = 2'000;
+  SimulatedVm& vm = m_cell.AddVm("vm-0", {64'000, 128'000, 0});
+  m_cell.Run(100);
+  VmState* state = m_cell.Core().State().FindVm(vm.m_description.m_life);
+  ASSERT_NE(state, nullptr);
+  state->m_look_due_ms = m_cell.Now().m_steady_ms;
+  m_cell.RunWithoutLooks(kLongerThanAnyAnswerMs);
+  m_cell.Submit(m_cell.Job(1, {m_cell.Step(1, 1'000)}));
+  m_cell.RunWithoutLooks(10);
+  EXPECT_TRUE(m_cell.m_starts.empty());
+  m_cell.Look();
+  m_cell.RunWithoutLooks(10);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -78,7 +78,7 @@
     m_dirty = true;
   }
   vm->m_fenced = true;
-  vm->m_last_answer_ms = now.m_steady_ms;
+  vm->m_look_due_ms = 0;
   vm->m_first_failed_call_ms = 0;
   vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
   ReadEnds(*vm, report, now);
@@ -230,7 +230,11 @@
 
 void CellCore::OnVmSilent(const VmLife& life, const CellTime& now) {
   VmState* vm = m_state.FindVm(life);
-  if (vm != nullptr && vm->m_first_failed_call_ms == 0) {
+  if (vm == nullptr) {
+    return;
+  }
+  vm->m_look_due_ms = 0;
+  if (vm->m_first_failed_call_ms == 0) {
     vm->m_first_failed_call_ms = std::max<std::int64_t>(1, now.m_steady_ms);
   }
 }
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -142,6 +142,13 @@
     }
   }
 
+  // Time passes, and no VM is looked at.
+  void RunWithoutLooks(std::int64_t ms) {
+    m_now_ms += ms;
+    m_core->OnTick(Now());
+    Pump();
+  }
+
   // Everything that runs goes on for this long; nothing ends by itself.
   void Work(std::int64_t ms) {
     constexpr double kAlmostDone = 99;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -35,6 +35,8 @@
   // Of the platform's VM list in the store.
   std::string m_vm_prefix;
   VmDecoder m_decode_vm;
+  // VMs on which a call is kept open, each of which takes a descriptor.
+  std::size_t m_most_held_vms = 2'000;
 };
 
 template <AsyncStore Store, TimerLoop Loop, VmControl Vms,
@@ -66,7 +68,8 @@
         m_core(m_options.m_bounds),
         m_log(store, loop),
         m_holder(vms, loop, m_core, owner.m_revision,
-                 {[this] { PumpSoon(); }, [this] { Superseded(); }}),
+                 {[this] { PumpSoon(); }, [this] { Superseded(); }},
+                 m_options.m_most_held_vms),
         m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs,
                   VmHandlers()) {
     m_asks.AddDaemon(kThisDaemon);
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -11,10 +11,8 @@
 // A ticket is used only if it is valid for this long, which covers the write to
 // the log and the way to the VM.
 constexpr std::int64_t kTicketMarginMs = 150;
-// A VM that has not answered for this long gets no start.
-constexpr std::int64_t kSilentVmMs = 2'600;
-// In a large fleet a VM on which nothing runs is looked at less often.
-constexpr std::int64_t kSilentIdleVmMs = 20'000;
+// A VM whose answer to a look is late by this much gets no start.
+constexpr std::int64_t kUnansweredLookMs = 1'100;
 // Before the first answers about a queue.
 constexpr double kInitialGoodShare = 0.5;
 constexpr double kGoodShareWeight = 0.1;
@@ -59,11 +57,10 @@
 }  // namespace
 
 bool IsUsable(const VmState& vm, std::int64_t now_ms) {
-  const std::int64_t limit_ms =
-      vm.m_open.empty() ? kSilentIdleVmMs : kSilentVmMs;
-  return vm.m_listed && vm.m_fenced && !vm.m_description.m_draining &&
-         now_ms - vm.m_last_answer_ms < limit_ms &&
-         vm.m_first_failed_call_ms == 0;
+  const bool answers =
+      vm.m_first_failed_call_ms == 0 &&
+      (vm.m_look_due_ms == 0 || now_ms < vm.m_look_due_ms + kUnansweredLookMs);
+  return vm.m_listed && vm.m_fenced && !vm.m_description.m_draining && answers;
 }
 
 // A VM in this pass, with the room that is left after the decisions so far.
--- a/Source/Core/cell/vm_holder.h
+++ b/Source/Core/cell/vm_holder.h
@@ -1,5 +1,9 @@
-// Keeps one hold call open at each VM of the cell: it renews leases, raises the
-// fence, and brings ends as soon as they happen.
+// Looks at the VMs of the cell: a look renews the lease, raises the fence, and
+// brings ends.
+//
+// A VM with work is held: an open look waits for the next end. Other VMs, and
+// those with work beyond the limit of held ones, get short looks, of which only
+// some are open at a time, in turn.
 #pragma once
 
 #include <algorithm>
@@ -7,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "cell/cell_core.h"
@@ -29,12 +34,13 @@
   };
 
   VmHolder(Vms& vms, Loop& loop, CellCore& core, std::int64_t fence,
-           Handlers handlers)
+           Handlers handlers, std::size_t most_held)
       : m_vms(vms),
         m_loop(loop),
         m_core(core),
         m_fence(fence),
-        m_handlers(std::move(handlers)) {}
+        m_handlers(std::move(handlers)),
+        m_most_held(most_held) {}
 
   VmHolder(const VmHolder&) = delete;
   VmHolder& operator=(const VmHolder&) = delete;
@@ -45,12 +51,23 @@
     m_idle_gap_ms = std::max(
         kIdleGapMs, static_cast<std::int64_t>(m_core.State().Vms().size()) *
                         kMsPerSecond / kMostIdleLooksPerSecond);
-    for (auto& [life, vm] : m_core.State().Vms()) {
+    // Begins where the limit of short looks stopped the last round, so that the
+    // VMs take turns.
+    auto& vms = m_core.State().Vms();
+    auto next = vms.lower_bound(m_turn);
+    std::optional<VmLife> turn;
+    for (std::size_t i = 0; i < vms.size(); ++i, ++next) {
+      if (next == vms.end()) {
+        next = vms.begin();
+      }
+      VmState& vm = next->second;
       const bool needed = vm.m_listed || !vm.m_open.empty();
-      if (needed && !vm.m_description.m_address.empty()) {
-        HoldIfDue(vm, now, renew);
+      if (needed && !vm.m_description.m_address.empty() &&
+          !HoldIfDue(vm, now, renew) && !turn) {
+        turn = next->first;
       }
     }
+    m_turn = turn.value_or(VmLife{});
     std::erase_if(m_calls, [&](const auto& entry) {
       return !entry.second.m_open &&
              m_core.State().FindVm(entry.first) == nullptr;
@@ -70,9 +87,19 @@
   static constexpr std::int64_t kMsPerSecond = 1'000;
   // An answer that is late by this much may be lost: a second call follows.
   static constexpr std::int64_t kLateAnswerMs = 200;
+  // Each VM with work beyond the limit of held ones is looked at this often.
+  static constexpr std::int64_t kPolledGapMs = 500;
+  // Short looks that are open at a time, and those of them at VMs that left the
+  // last one unanswered.
+  static constexpr std::size_t kMostShortLooks = 200;
+  static constexpr std::size_t kMostFailedLooks = 50;
+
+  enum class Look { kHold, kShort, kAfterFailure };
 
   struct Call {
     bool m_open = false;
+    // Of the open call.
+    Look m_look = Look::kShort;
     // The open call is the second one, after the first was not answered.
     bool m_repeated = false;
     std::int64_t m_next_ms = 0;
@@ -88,11 +115,17 @@
     }
   };
 
-  void HoldIfDue(VmState& vm, const CellTime& now, bool renew) {
+  // False if a look is due and the limits leave none.
+  bool HoldIfDue(VmState& vm, const CellTime& now, bool renew) {
     Call& call = m_calls[vm.Life()];
     const bool late = call.Late(now.m_steady_ms);
     if (!late && (call.m_open || !MaySend(call, vm, now))) {
-      return;
+      return true;
+    }
+    const Look look = NextLook(call, vm, late || !renew);
+    // The second look after a late answer keeps the place of the first.
+    if (!late && IsFull(look)) {
+      return false;
     }
     HoldOrder order;
     order.m_vm = vm.Life();
@@ -102,9 +135,12 @@
     if (renew) {
       order.m_lease_until_vm_ms = m_core.NextLease(vm, now);
     }
-    const bool waits = vm.m_fenced && !Idle(call, vm) && !late &&
-                       order.m_lease_until_vm_ms.has_value();
-    order.m_wait_ms = waits ? m_core.LookWaitMs(vm, now) : 0;
+    order.m_wait_ms = look == Look::kHold ? m_core.LookWaitMs(vm, now) : 0;
+    if (!late) {
+      ++m_open[look];
+      call.m_look = look;
+      vm.m_look_due_ms = now.m_steady_ms + order.m_wait_ms;
+    }
     call.m_open = true;
     call.m_repeated = late;
     call.m_sent_ms = now.m_steady_ms;
@@ -115,6 +151,29 @@
                                     number](Result<VmReport> report) {
       OnAnswer(life, number, std::move(report));
     }));
+    return true;
+  }
+
+  Look NextLook(const Call& call, const VmState& vm, bool at_once) {
+    if (vm.m_first_failed_call_ms != 0) {
+      return Look::kAfterFailure;
+    }
+    const bool holds = vm.m_fenced && vm.m_clock.Known() && !at_once &&
+                       !Idle(call, vm) && m_open[Look::kHold] < m_most_held;
+    return holds ? Look::kHold : Look::kShort;
+  }
+
+  bool IsFull(Look look) {
+    const std::size_t after_failure = m_open[Look::kAfterFailure];
+    switch (look) {
+      case Look::kHold:
+        return false;
+      case Look::kShort:
+        return m_open[Look::kShort] + after_failure >= kMostShortLooks;
+      case Look::kAfterFailure:
+        return after_failure >= kMostFailedLooks;
+    }
+    return false;
   }
 
   // Nothing runs there, and the VM knows that its ends are in the store.
@@ -128,6 +187,10 @@
         now.m_steady_ms < call.m_sent_ms + m_idle_gap_ms) {
       return false;
     }
+    if (m_open.at(Look::kHold) >= m_most_held && !vm.m_open.empty() &&
+        now.m_steady_ms < call.m_sent_ms + kPolledGapMs) {
+      return false;
+    }
     const bool unwritten = vm.m_last_end != vm.m_durable_end;
     return now.m_steady_ms >= call.m_next_ms &&
            (!unwritten ||
@@ -141,6 +204,7 @@
       return;
     }
     call.m_open = false;
+    --m_open[call.m_look];
     const CellTime now = m_loop.Now();
     VmState* vm = m_core.State().FindVm(life);
     if (report) {
@@ -183,8 +247,14 @@
   CellCore& m_core;
   const std::int64_t m_fence;
   const Handlers m_handlers;
+  const std::size_t m_most_held;
   CallbackGuard m_guard;
   std::map<VmLife, Call> m_calls;
+  // Looks that are open. Invariant: the number of open entries of m_calls.
+  std::map<Look, std::size_t> m_open = {
+      {Look::kHold, 0}, {Look::kShort, 0}, {Look::kAfterFailure, 0}};
+  // The VM whose turn is first.
+  VmLife m_turn;
   std::int64_t m_idle_gap_ms = kIdleGapMs;
 };
 
--- a/Source/Core/cell/vm_holder_test.cc
+++ b/Source/Core/cell/vm_holder_test.cc
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cell/manual_loop.h"
@@ -33,7 +35,7 @@
  protected:
   VmHolderTest()
       : m_core(CellBounds{}),
-        m_holder(m_vms, m_loop, m_core, 7, {[] {}, [] {}}) {
+        m_holder(m_vms, m_loop, m_core, 7, {[] {}, [] {}}, kMostHeld) {
     m_core.OnRecovered(m_loop.Now());
     VmDescription vm;
     vm.m_life = {"vm-0", 1};
@@ -59,25 +61,45 @@
     m_vms.m_calls.at(call).m_done(std::move(report));
   }
 
+  // Nothing runs on the VM of this call.
+  void AnswerFor(std::size_t call) {
+    VmReport report;
+    report.m_vm = m_vms.m_calls.at(call).m_order.m_vm;
+    report.m_vm_ms = m_loop.Now().m_steady_ms;
+    m_vms.m_calls.at(call).m_done(std::move(report));
+  }
+
   // Answers each call that was not answered yet, with nothing running.
   void AnswerAll() {
     for (; m_answered < m_vms.m_calls.size(); ++m_answered) {
-      VmReport report;
-      report.m_vm = m_vms.m_calls[m_answered].m_order.m_vm;
-      report.m_vm_ms = m_loop.Now().m_steady_ms;
-      m_vms.m_calls[m_answered].m_done(std::move(report));
+      AnswerFor(m_answered);
+    }
+  }
+
+  // The fleet has this many VMs, with the first.
+  void AddVms(int count) {
+    for (int i = 1; i < count; ++i) {
+      VmDescription vm;
+      vm.m_life = {"vm-" + std::to_string(i), 1};
+      vm.m_service = "svc";
+      vm.m_address = "127.0.0.1:1";
+      vm.m_capacity = {64'000, 128'000, 0};
+      m_core.OnVmListed(vm, m_loop.Now());
     }
   }
 
   // One task runs on the VM from now on.
-  void StartOneRun() {
+  void StartOneRun() { StartRuns(1); }
+
+  // Tasks run from now on, one on each VM.
+  void StartRuns(std::uint32_t count) {
     WorkflowSpec spec;
     spec.m_id = m_task.m_job;
     spec.m_queue.m_name = "queue";
     spec.m_queue.m_service = "svc";
     StepSpec step;
-    step.m_count = 1;
-    step.m_resources = {1'000, 0, 0};
+    step.m_count = count;
+    step.m_resources = {64'000, 0, 0};
     spec.m_steps = {step};
     m_core.Submit(1, spec, m_loop.Now());
     m_core.Schedule(m_loop.Now(), 0);
@@ -103,6 +125,8 @@
     ASSERT_EQ(m_vms.m_calls.size(), 2U);
   }
 
+  static constexpr std::size_t kMostHeld = 2'000;
+
   RecordingVms m_vms;
   ManualLoop m_loop;
   std::size_t m_answered = 0;
@@ -122,17 +146,92 @@
   EXPECT_EQ(m_vms.m_calls.at(1).m_order.m_wait_ms, 0);
 }
 
+// Fails if all VMs are called at the same moment: at 3,000 VMs an owner that
+// had just taken over ran out of descriptors, and callers and other daemons
+// could not connect to it.
+TEST_F(VmHolderTest, FirstContactIsBounded) {
+  constexpr int kVms = 1'000;
+  AddVms(kVms);
+  Run(10);
+  EXPECT_LE(m_vms.m_calls.size(), 200U);
+  for (int round = 0; round < 10; ++round) {
+    AnswerAll();
+    Run(20);
+  }
+  std::set<std::string> called;
+  for (const RecordingVms::Call& call : m_vms.m_calls) {
+    called.insert(call.m_order.m_vm.m_id);
+  }
+  EXPECT_EQ(called.size(), static_cast<std::size_t>(kVms));
+}
+
+// Fails if VMs that do not answer use up the calls that others wait for: with a
+// zone away the rest of the fleet was not reached.
+TEST_F(VmHolderTest, UnreachableVmsLeaveRoomForOthers) {
+  constexpr int kVms = 1'000;
+  AddVms(kVms);
+  std::set<std::string> answered;
+  for (int round = 0; round < 200; ++round) {
+    Run(20);
+    for (; m_answered < m_vms.m_calls.size(); ++m_answered) {
+      const VmLife& vm = m_vms.m_calls[m_answered].m_order.m_vm;
+      const bool reachable = vm.m_id.back() == '9';
+      if (reachable) {
+        AnswerFor(m_answered);
+        answered.insert(vm.m_id);
+      } else {
+        m_vms.m_calls[m_answered].m_done(
+            Fail(ErrorCode::kUnavailable, "connection_failed"));
+      }
+    }
+  }
+  EXPECT_EQ(answered.size(), static_cast<std::size_t>(kVms / 10));
+}
+
+// Fails if each VM with work holds an open call however many there are.
+TEST_F(VmHolderTest, OpenCallsStayBelowTheirLimit) {
+  constexpr std::size_t kLimit = 20;
+  constexpr int kVms = 60;
+  AddVms(kVms);
+  RecordingVms vms;
+  VmHolder<RecordingVms, ManualLoop> holder(vms, m_loop, m_core, 7,
+                                            {[] {}, [] {}}, kLimit);
+  const auto answer_short_calls = [&] {
+    for (RecordingVms::Call& call : vms.m_calls) {
+      if (call.m_order.m_wait_ms == 0 && call.m_done) {
+        VmReport report;
+        report.m_vm = call.m_order.m_vm;
+        report.m_vm_ms = m_loop.Now().m_steady_ms;
+        std::exchange(call.m_done, nullptr)(std::move(report));
+      }
+    }
+  };
+  const auto run = [&](std::int64_t ms) {
+    for (std::int64_t passed = 0; passed < ms; passed += 10) {
+      m_loop.Run(10);
+      holder.OnTick(true);
+      answer_short_calls();
+    }
+  };
+  run(200);
+  StartRuns(kVms);
+  const std::size_t before = vms.m_calls.size();
+  run(500);
+  std::size_t waiting = 0;
+  std::set<std::string> called;
+  for (std::size_t i = before; i < vms.m_calls.size(); ++i) {
+    called.insert(vms.m_calls[i].m_order.m_vm.m_id);
+    waiting += vms.m_calls[i].m_order.m_wait_ms > 0 ? 1 : 0;
+  }
+  EXPECT_EQ(waiting, kLimit);
+  EXPECT_EQ(called.size(), static_cast<std::size_t>(kVms));
+}
+
 // Fails if the looks at idle VMs grow with the fleet without a bound.
 TEST_F(VmHolderTest, LargeFleetIsLookedAtLessOften) {
   constexpr int kVms = 1'200;
-  for (int i = 1; i < kVms; ++i) {
-    VmDescription vm;
-    vm.m_life = {"vm-" + std::to_string(i), 1};
-    vm.m_service = "svc";
-    vm.m_address = "127.0.0.1:1";
-    m_core.OnVmListed(vm, m_loop.Now());
-  }
-  for (int round = 0; round < 3; ++round) {
+  AddVms(kVms);
+  for (int round = 0; round < 20; ++round) {
     Run(20);
     AnswerAll();
   }
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -73,8 +73,11 @@
   std::uint64_t m_last_end = 0;
   // The highest end that is in the store, so that the VM may forget it.
   std::uint64_t m_durable_end = 0;
-  // Owner's steady clock: last answer of the VM; 0 for none.
-  std::int64_t m_last_answer_ms = 0;
+  // Owner's steady clock: when the look that is open must be answered, without
+  // the time of the network; 0 while none is open.
+  std::int64_t m_look_due_ms = 0;
+  // Owner's steady clock: the first of the looks that failed in a row; 0 if the
+  // last one was answered.
   std::int64_t m_first_failed_call_ms = 0;
   // The jobs whose runs failed here since the last success.
   std::set<std::string> m_failed_jobs;
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -9,6 +9,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <stdexcept>
 
@@ -65,8 +66,8 @@
 
 class EventHttpClient::Implementation {
  public:
-  Implementation(Reactor& reactor, std::size_t most_idle)
-      : m_reactor(reactor), m_most_idle(most_idle) {}
+  Implementation(Reactor& reactor, EventHttpClientLimits limits)
+      : m_reactor(reactor), m_limits(limits) {}
 
   ~Implementation() {
     for (evhttp_connection* connection : m_all) {
@@ -75,6 +76,16 @@
   }
 
   void Call(const Endpoint& peer, HttpCall call, Done done) {
+    if (m_waiting.empty() && MakeRoomFor(peer)) {
+      Send(peer, call, std::move(done));
+      return;
+    }
+    const std::int64_t limit_ms =
+        m_reactor.Now().m_steady_ms + call.m_timeout.count();
+    m_waiting.push_back({peer, std::move(call), std::move(done), limit_ms});
+  }
+
+  void Send(const Endpoint& peer, const HttpCall& call, Done done) {
     evhttp_connection* connection = Take(peer);
     auto exchange = std::make_unique<Exchange>();
     exchange->m_client = this;
@@ -110,8 +121,17 @@
   }
 
   std::uint64_t Opened() const { return m_opened; }
+  std::size_t Open() const { return m_all.size(); }
 
  private:
+  // A call that waits for a connection.
+  struct Waiting {
+    Endpoint m_peer;
+    HttpCall m_call;
+    Done m_done;
+    std::int64_t m_limit_ms = 0;
+  };
+
   struct Exchange {
     Implementation* m_client = nullptr;
     Endpoint m_peer;
@@ -139,6 +159,45 @@
     }
   }
 
+  // True if a call to the peer needs no connection beyond the limit. Closes an
+  // idle one to another peer for that.
+  bool MakeRoomFor(const Endpoint& peer) {
+    const auto own = m_idle.find(peer);
+    if (m_all.size() < m_limits.m_most_open ||
+        (own != m_idle.end() && !own->second.empty())) {
+      return true;
+    }
+    if (m_idle_count == 0) {
+      return false;
+    }
+    const auto other =
+        std::find_if(m_idle.begin(), m_idle.end(),
+                     [](const auto& entry) { return !entry.second.empty(); });
+    evhttp_connection* connection = other->second.back();
+    other->second.pop_back();
+    --m_idle_count;
+    m_all.erase(connection);
+    evhttp_connection_free(connection);
+    return true;
+  }
+
+  void SendWaiting() {
+    while (!m_waiting.empty()) {
+      const bool late =
+          m_reactor.Now().m_steady_ms >= m_waiting.front().m_limit_ms;
+      if (!late && !MakeRoomFor(m_waiting.front().m_peer)) {
+        return;
+      }
+      const Waiting next = std::move(m_waiting.front());
+      m_waiting.pop_front();
+      if (late) {
+        next.m_done(Fail(ErrorCode::kUnavailable, "connection_limit"));
+      } else {
+        Send(next.m_peer, next.m_call, next.m_done);
+      }
+    }
+  }
+
   evhttp_connection* Take(const Endpoint& peer) {
     std::vector<evhttp_connection*>& idle = m_idle[peer];
     if (!idle.empty()) {
@@ -193,6 +252,7 @@
         // Connections may go silent together; new ones show it.
         Forget(exchange->m_peer);
       }
+      SendWaiting();
       exchange->m_done(std::move(result));
     }));
   }
@@ -200,7 +260,7 @@
   void Release(const Endpoint& peer, evhttp_connection* connection, bool keep) {
     std::vector<evhttp_connection*>& idle = m_idle[peer];
     if (keep && idle.size() < kIdleConnectionsKept &&
-        m_idle_count < m_most_idle) {
+        m_idle_count < m_limits.m_most_idle) {
       // Otherwise the limit of the last call closes the idle connection.
       const timeval limit = ToTimeval(kIdleLimit);
       evhttp_connection_set_timeout_tv(connection, &limit);
@@ -214,7 +274,8 @@
 
   Reactor& m_reactor;
   CallbackGuard m_guard;
-  const std::size_t m_most_idle;
+  const EventHttpClientLimits m_limits;
+  std::deque<Waiting> m_waiting;
   // Connections in m_idle, over all peers.
   std::size_t m_idle_count = 0;
   std::map<Endpoint, std::vector<evhttp_connection*>> m_idle;
@@ -222,8 +283,8 @@
   std::uint64_t m_opened = 0;
 };
 
-EventHttpClient::EventHttpClient(Reactor& reactor, std::size_t most_idle)
-    : m_implementation(std::make_unique<Implementation>(reactor, most_idle)) {}
+EventHttpClient::EventHttpClient(Reactor& reactor, EventHttpClientLimits limits)
+    : m_implementation(std::make_unique<Implementation>(reactor, limits)) {}
 EventHttpClient::~EventHttpClient() = default;
 
 void EventHttpClient::Call(const Endpoint& peer, HttpCall call, Done done) {
@@ -238,6 +299,8 @@
   return m_implementation->Opened();
 }
 
+std::size_t EventHttpClient::Open() const { return m_implementation->Open(); }
+
 // --- Server ---
 
 class EventHttpServer::Implementation {
--- a/Source/Core/transport/event_http.h
+++ b/Source/Core/transport/event_http.h
@@ -17,20 +17,26 @@
 
 namespace mustardslip {
 
+// Over all peers, in connections. Each takes a descriptor of the process.
+struct EventHttpClientLimits {
+  std::size_t m_most_idle = 1'000;
+  // Calls beyond this wait for a connection, in order.
+  std::size_t m_most_open = 3'000;
+};
+
 class EventHttpClient {
  public:
   using Done = std::function<void(Result<HttpResponse>)>;
-  static constexpr std::size_t kMostIdle = 1'000;
 
-  // Keeps at most this many idle connections, over all peers.
-  explicit EventHttpClient(Reactor& reactor, std::size_t most_idle = kMostIdle);
+  explicit EventHttpClient(Reactor& reactor, EventHttpClientLimits limits = {});
   ~EventHttpClient();
 
   EventHttpClient(const EventHttpClient&) = delete;
   EventHttpClient& operator=(const EventHttpClient&) = delete;
 
   // `done` runs on the reactor, never from within Call. Errors: kUnavailable if
-  // no connection could be made (nothing was sent), else kUnknownOutcome.
+  // no connection could be made (nothing was sent), also if the call's timeout
+  // passed while it waited for one, else kUnknownOutcome.
   // Connections are kept and used again, one call at a time on each; a call is
   // never sent again by itself, whatever its m_connection says.
   void Call(const Endpoint& peer, HttpCall call, Done done);
@@ -40,6 +46,8 @@
 
   // Connections opened so far.
   std::uint64_t Opened() const;
+  // Connections that are open now, idle ones included.
+  std::size_t Open() const;
 
  private:
   class Implementation;
