Let the cell go to daemons with enough processor time, and stay with a well owner

Cause: on the grown sites most daemons have 0.12 of a core and a link of 10 Mbit/s, eight have 0.5. The delay by processor time counted only for a record that was absent.

Ruled out: the store (its calls took 4 ms), the link between daemons.

Change: the owner's record and the greeting of a link carry processor time; a daemon waits for the time that it has less than earlier owners had, also after the owner's death and when the store is back. A successor that was asked for tries once, and only if it reached the store before. An owner with less than half of the processor time of a peer hands the cell to it.

Tests: DaemonWithMoreProcessorTimeGoesFirst, ProcessorTimeCountsWhenTheStoreIsBack, OwnerStaysWhenTheStoreIsBackForAll (these fail without the change of candidacy), HandoverPolicyTest.

--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -14,10 +14,12 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cell/cell_entry.h"
 #include "cell/cell_owner.h"
 #include "cell/configuration_view.h"
+#include "cell/handover.h"
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
 #include "common/callback_guard.h"
@@ -117,6 +119,8 @@
   struct Peer {
     std::unique_ptr<MessageLink> m_link;
     std::int64_t m_heard_ms = 0;
+    std::int64_t m_since_ms = 0;
+    std::int64_t m_power_millis = 0;
     bool m_greeted = false;
     bool m_welcomed = false;
   };
@@ -180,6 +184,7 @@
   }
 
   void OnOwnerReady() {
+    m_ready_ms = m_reactor.Now().m_steady_ms;
     Log(LogLevel::kInfo, LogCategory::kMembership, "cell_ready",
         {{"peers", m_peers.size()}});
     m_entry.UseLocal([this](CellRequest request, auto done) {
@@ -252,6 +257,7 @@
     LinkMessage hello;
     hello.m_kind = LinkMessageKind::kHello;
     hello.m_instance = m_options.m_ownership.m_instance;
+    hello.m_power_millis = m_options.m_ownership.m_power_millis;
     m_link->Send(EncodeLinkMessage(hello));
   }
 
@@ -342,7 +348,8 @@
     };
     handlers.m_on_closed = [this, number](bool) { RemovePeer(number); };
     Peer& peer = m_peers[number];
-    peer.m_heard_ms = m_reactor.Now().m_steady_ms;
+    peer.m_since_ms = m_reactor.Now().m_steady_ms;
+    peer.m_heard_ms = peer.m_since_ms;
     peer.m_link =
         std::make_unique<MessageLink>(m_reactor, socket, std::move(handlers));
   }
@@ -370,6 +377,7 @@
     switch (message->m_kind) {
       case LinkMessageKind::kHello:
         peer.m_greeted = true;
+        peer.m_power_millis = message->m_power_millis;
         Welcome(number, peer);
         break;
       case LinkMessageKind::kRequest:
@@ -436,6 +444,7 @@
       m_owner->OnRenewed(m_ownership.LastConfirmedMs());
     }
     CheckLinks(now_ms);
+    CheckHandover(now_ms);
     CheckDrain(now_ms);
     Later(kPingMs, [this] { Tick(); });
   }
@@ -464,6 +473,28 @@
     }
   }
 
+  void CheckHandover(std::int64_t now_ms) {
+    if (!m_owner || !m_owner->Ready()) {
+      return;
+    }
+    std::vector<PeerPower> peers;
+    for (const auto& [number, peer] : m_peers) {
+      peers.push_back({number, peer.m_power_millis, peer.m_since_ms});
+    }
+    const std::int64_t own_millis = m_options.m_ownership.m_power_millis;
+    const auto chosen =
+        m_handover.Choose(own_millis, m_ready_ms, peers, now_ms);
+    if (!chosen) {
+      return;
+    }
+    Log(LogLevel::kInfo, LogCategory::kMembership, "handover_asked",
+        {{"own_millis", own_millis},
+         {"peer_millis", m_peers.at(*chosen).m_power_millis}});
+    LinkMessage message;
+    message.m_kind = LinkMessageKind::kYield;
+    SendTo(*chosen, message);
+  }
+
   void CheckDrain(std::int64_t now_ms) {
     if (!m_draining || m_resigned) {
       return;
@@ -503,6 +534,9 @@
   std::int64_t m_link_heard_ms = 0;
   std::map<std::uint64_t, Peer> m_peers;
   std::uint64_t m_last_peer = 0;
+  HandoverPolicy m_handover;
+  // When the present owner of this daemon was ready.
+  std::int64_t m_ready_ms = 0;
   std::int64_t m_connected_ms = 0;
   bool m_draining = false;
   bool m_resigned = false;
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -105,6 +105,7 @@
     case LinkMessageKind::kPing:
     case LinkMessageKind::kYield:
       decoded.m_instance = header.value("i", "");
+      decoded.m_power_millis = header.value("p", std::int64_t{0});
       break;
     case LinkMessageKind::kRequest: {
       auto request = DecodeRequest(message);
@@ -146,6 +147,9 @@
     case LinkMessageKind::kPing:
     case LinkMessageKind::kYield:
       encoded.m_header["i"] = message.m_instance;
+      if (message.m_power_millis != 0) {
+        encoded.m_header["p"] = message.m_power_millis;
+      }
       break;
     case LinkMessageKind::kRequest:
       EncodeRequest(message.m_request, encoded);
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -37,7 +37,8 @@
   kAnswer,
   kAdvise,
   kAdvice,
-  // From the owner: it cannot write to the store. Whoever can takes the cell.
+  // From the owner: it cannot write to the store, or the receiver has far more
+  // processor time. Whoever can takes the cell.
   kYield,
 };
 
@@ -47,6 +48,8 @@
   std::uint64_t m_number = 0;
   // kHello, kWelcome, kNotOwner: the sender's instance.
   std::string m_instance;
+  // kHello: the sender's processor time, in thousandths of a core.
+  std::int64_t m_power_millis = 0;
   CellRequest m_request;
   CellAnswer m_answer;
   AskAdvice m_ask;
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -30,6 +30,8 @@
   std::string m_instance;
   // "host:port" for other daemons.
   std::string m_address;
+  // The owner's processor time, in thousandths of a core.
+  std::int64_t m_power_millis = 0;
   // Of the record in the store; the owner's fence at the VMs.
   Revision m_revision = 0;
 
@@ -38,7 +40,8 @@
 
 inline std::string EncodeOwner(const OwnerRecord& owner) {
   return nlohmann::json{{"instance", owner.m_instance},
-                        {"address", owner.m_address}}
+                        {"address", owner.m_address},
+                        {"power_millis", owner.m_power_millis}}
       .dump();
 }
 
@@ -50,7 +53,13 @@
       !json["address"].is_string()) {
     return std::nullopt;
   }
-  return OwnerRecord{json["instance"], json["address"], item.m_revision};
+  std::int64_t power_millis = 0;
+  if (json.contains("power_millis") &&
+      json["power_millis"].is_number_integer()) {
+    power_millis = json["power_millis"];
+  }
+  return OwnerRecord{json["instance"], json["address"], power_millis,
+                     item.m_revision};
 }
 
 struct OwnershipOptions {
@@ -58,9 +67,12 @@
   std::string m_address;
   // How long the store keeps the record of a silent owner.
   std::int64_t m_lease_ms = 2'000;
-  // How long this daemon waits before it takes a free record: daemons with more
-  // processor time wait less.
-  std::int64_t m_candidacy_delay_ms = 0;
+  // Processor time of this daemon, in thousandths of a core: daemons with less
+  // than earlier owners had wait before they take a free record, since loading
+  // the log and serving the cell takes all that a small one has.
+  std::int64_t m_power_millis = 0;
+  // Waited as well, so that not all daemons write at once.
+  std::int64_t m_spread_ms = 0;
 };
 
 template <AsyncStore Store, TimerLoop Loop>
@@ -94,18 +106,21 @@
   void OnOwnerDead(Revision revision) {
     if (m_known && m_known->m_revision == revision && !m_owned) {
       m_dead_revision = revision;
-      BecomeCandidate(0);
+      BecomeCandidate(CandidacyDelayMs());
     }
   }
 
-  // The owner of this revision asks for a successor. Tried only for a short
-  // time: where the store is down for all, the owner stays.
+  // The owner of this revision asks for a successor. Tried once, and only for a
+  // short time and by daemons that reach the store: where it is down for all,
+  // the owner stays.
   void OnOwnerYields(Revision revision) {
-    if (!m_known || m_known->m_revision != revision || m_owned) {
+    if (!m_known || m_known->m_revision != revision || m_owned ||
+        m_feed.Failing()) {
       return;
     }
     m_dead_revision = revision;
-    BecomeCandidate(m_options.m_candidacy_delay_ms);
+    m_yielded_revision = revision;
+    BecomeCandidate(CandidacyDelayMs());
     Later(kYieldValidMs, [this, revision] {
       if (m_dead_revision == revision && !m_owned) {
         m_dead_revision = 0;
@@ -139,6 +154,10 @@
   static constexpr std::int64_t kRenewalsPerLease = 4;
   static constexpr std::int64_t kCommitTimeoutMs = 600;
   static constexpr std::int64_t kYieldValidMs = 900;
+  static constexpr std::int64_t kMillisPerCore = 1'000;
+  static constexpr std::int64_t kMsPerMissingCore = 500;
+  // Expected of an owner before the first one is known.
+  static constexpr std::int64_t kUsualPowerMillis = 500;
 
   typename PrefixFeed<Store, Loop>::Handlers FeedHandlers() {
     typename PrefixFeed<Store, Loop>::Handlers handlers;
@@ -171,12 +190,14 @@
       Log(LogLevel::kError, LogCategory::kMembership, "owner_record_unreadable",
           {{"revision", item.m_revision}});
       // No process stands behind it; its revision is what a successor replaces.
-      m_known = OwnerRecord{"", "", item.m_revision};
+      m_known = OwnerRecord{"", "", 0, item.m_revision};
       m_dead_revision = item.m_revision;
-      BecomeCandidate(0);
+      BecomeCandidate(CandidacyDelayMs());
       return;
     }
     m_known = owner;
+    m_reference_millis =
+        std::max(m_reference_millis.value_or(0), owner->m_power_millis);
     if (m_owned) {
       if (owner->m_revision != m_owned->m_revision) {
         Lose("another_owner");
@@ -204,7 +225,14 @@
     }
     m_known.reset();
     m_handlers.m_on_owner(std::nullopt);
-    BecomeCandidate(m_options.m_candidacy_delay_ms);
+    BecomeCandidate(CandidacyDelayMs());
+  }
+
+  std::int64_t CandidacyDelayMs() const {
+    const std::int64_t missing = std::max<std::int64_t>(
+        0, m_reference_millis.value_or(kUsualPowerMillis) -
+               m_options.m_power_millis);
+    return missing * kMsPerMissingCore / kMillisPerCore + m_options.m_spread_ms;
   }
 
   void BecomeCandidate(std::int64_t delay_ms) {
@@ -234,11 +262,21 @@
     }
     m_store.GrantLease(m_options.m_lease_ms, m_guard.Wrap([this](auto lease) {
       if (!lease) {
+        if (m_known && m_known->m_revision == m_yielded_revision) {
+          EndCandidacy();  // The owner asks again if it needs a successor.
+          return;
+        }
+        m_store_was_away = true;
         Later(kRetryMs, [this] { Grant(); });
         return;
       }
       m_lease = *lease;
       m_confirmed_ms = m_loop.Now().m_steady_ms;
+      if (std::exchange(m_store_was_away, false)) {
+        // It may be back for all at the same moment.
+        Later(CandidacyDelayMs(), [this] { Write(); });
+        return;
+      }
       Write();
     }));
   }
@@ -253,7 +291,9 @@
         {std::string(kOwnerKey), m_known ? m_known->m_revision : 0}};
     transaction.m_puts = {
         {std::string(kOwnerKey),
-         EncodeOwner({m_options.m_instance, m_options.m_address, 0}), m_lease}};
+         EncodeOwner({m_options.m_instance, m_options.m_address,
+                      m_options.m_power_millis, 0}),
+         m_lease}};
     m_store.Commit(
         transaction, kCommitTimeoutMs,
         m_guard.Wrap([this](auto answer) { OnWritten(std::move(answer)); }));
@@ -293,7 +333,8 @@
   void Acquire(Revision revision) {
     m_candidate = false;
     m_newest_revision = std::max(m_newest_revision, revision);
-    m_owned = OwnerRecord{m_options.m_instance, m_options.m_address, revision};
+    m_owned = OwnerRecord{m_options.m_instance, m_options.m_address,
+                          m_options.m_power_millis, revision};
     m_known = m_owned;
     Log(LogLevel::kInfo, LogCategory::kMembership, "cell_acquired",
         {{"revision", revision}});
@@ -359,7 +400,13 @@
   Revision m_newest_revision = 0;
   // The revision of a record whose process is known to be dead.
   Revision m_dead_revision = 0;
+  // The revision of the record whose owner asked for a successor.
+  Revision m_yielded_revision = 0;
+  // The most processor time that an owner had, of those that were seen.
+  std::optional<std::int64_t> m_reference_millis;
   bool m_candidate = false;
+  // The last attempt to take the cell failed.
+  bool m_store_was_away = false;
   bool m_resigned = false;
   LeaseId m_lease = 0;
   std::int64_t m_confirmed_ms = 0;
--- a/Source/Core/cell/ownership_test.cc
+++ b/Source/Core/cell/ownership_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "cell/fake_async_store.h"
+#include "cell/handover.h"
 
 namespace mustardslip {
 namespace {
@@ -12,9 +13,10 @@
 
 // One daemon with its own path to the shared store.
 struct Daemon {
-  Daemon(FakeStoreState& state, ManualLoop& loop, const std::string& name)
+  Daemon(FakeStoreState& state, ManualLoop& loop, const std::string& name,
+         std::int64_t power_millis = 500)
       : m_store(state, loop),
-        m_ownership(m_store, loop, Options(name),
+        m_ownership(m_store, loop, Options(name, power_millis),
                     {[this](const OwnerRecord& owner) {
                        m_fence = owner.m_revision;
                        ++m_acquired;
@@ -24,8 +26,10 @@
                        m_seen = owner;
                      }}) {}
 
-  static OwnershipOptions Options(const std::string& name) {
+  static OwnershipOptions Options(const std::string& name,
+                                  std::int64_t power_millis) {
     OwnershipOptions options;
+    options.m_power_millis = power_millis;
     options.m_instance = name;
     options.m_address = name + ":1";
     return options;
@@ -142,6 +146,93 @@
   EXPECT_TRUE(m_b.m_ownership.Owns());
 }
 
+// Fails if a successor that was asked for while the store was down for all
+// takes the cell at the moment at which the store is back: its owner is well.
+TEST_F(OwnershipTest, OwnerStaysWhenTheStoreIsBackForAll) {
+  StartBoth();
+  m_a.m_store.m_fault = Fault::kRefuse;
+  m_b.m_store.m_fault = Fault::kRefuse;
+  m_b.m_ownership.OnOwnerYields(m_a.m_fence);
+  m_loop.Run(300);
+  m_a.m_store.m_fault = Fault::kNone;
+  m_b.m_store.m_fault = Fault::kNone;
+  m_loop.Run(1'000);
+  EXPECT_TRUE(m_a.m_ownership.Owns());
+  EXPECT_EQ(m_b.m_acquired, 0);
+}
+
+// Fails if a daemon with little processor time takes the cell before one with
+// much: on 0.12 of a core the log took 4.2 s to load, and nothing was served
+// until the owner was replaced.
+TEST_F(OwnershipTest, DaemonWithMoreProcessorTimeGoesFirst) {
+  Daemon small(m_state, m_loop, "small", 120);
+  StartBoth();
+  small.m_ownership.Start();
+  m_loop.Run(200);
+  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_loop.Run(10);
+  m_b.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_loop.Run(500);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+  EXPECT_EQ(small.m_acquired, 0);
+}
+
+// Fails if the small daemon goes first because the store was away in between.
+TEST_F(OwnershipTest, ProcessorTimeCountsWhenTheStoreIsBack) {
+  Daemon small(m_state, m_loop, "small", 120);
+  StartBoth();
+  small.m_ownership.Start();
+  m_loop.Run(200);
+  small.m_store.m_fault = Fault::kRefuse;
+  m_b.m_store.m_fault = Fault::kRefuse;
+  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_b.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_loop.Run(2'050);
+  small.m_store.m_fault = Fault::kNone;
+  m_b.m_store.m_fault = Fault::kNone;
+  m_loop.Run(500);
+  EXPECT_TRUE(m_b.m_ownership.Owns());
+}
+
+// Fails if no small daemon takes the cell where no other is left.
+TEST_F(OwnershipTest, SmallDaemonTakesWhatNobodyElseDoes) {
+  Daemon small(m_state, m_loop, "small", 120);
+  StartBoth();
+  small.m_ownership.Start();
+  m_loop.Run(200);
+  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_loop.Run(1'000);
+  EXPECT_TRUE(small.m_ownership.Owns());
+}
+
+// Fails if a small owner keeps the cell beside a daemon with far more processor
+// time, or gives it away for little.
+TEST(HandoverPolicyTest, ChoosesAMuchStrongerPeerThatStays) {
+  constexpr std::int64_t kSmall = 120;
+  constexpr std::int64_t kReadyMs = 10'000;
+  HandoverPolicy policy;
+  const std::vector<PeerPower> peers = {
+      {1, 120, 9'000}, {2, 500, 9'000}, {3, 130, 9'000}};
+  EXPECT_EQ(policy.Choose(kSmall, kReadyMs, peers, kReadyMs + 100),
+            std::nullopt);
+  EXPECT_EQ(
+      policy.Choose(kSmall, kReadyMs, {peers[0], peers[2]}, kReadyMs + 5'000),
+      std::nullopt);
+  EXPECT_EQ(policy.Choose(500, kReadyMs, peers, kReadyMs + 5'000),
+            std::nullopt);
+  EXPECT_EQ(policy.Choose(kSmall, kReadyMs, peers, kReadyMs + 5'000), 2U);
+  // Not asked again at once.
+  EXPECT_EQ(policy.Choose(kSmall, kReadyMs, peers, kReadyMs + 5'100),
+            std::nullopt);
+}
+
+// Fails if a daemon that has just started gets the cell.
+TEST(HandoverPolicyTest, WaitsForAPeerToStay) {
+  HandoverPolicy policy;
+  EXPECT_EQ(policy.Choose(120, 0, {{1, 500, 9'000}}, 9'500), std::nullopt);
+  EXPECT_EQ(policy.Choose(120, 0, {{1, 500, 9'000}}, 10'600), 1U);
+}
+
 // Fails if a daemon that leaves holds the cell, or takes it again.
 TEST_F(OwnershipTest, LeavingDaemonHandsOver) {
   StartBoth();
--- a/Source/Core/cell/prefix_feed.h
+++ b/Source/Core/cell/prefix_feed.h
@@ -47,6 +47,9 @@
 
   void Start() { List(); }
 
+  // The last call failed: what the feed has told may be out of date.
+  bool Failing() const { return m_failing; }
+
  private:
   static constexpr std::int64_t kFirstRetryMs = 50;
   static constexpr std::int64_t kLastRetryMs = 400;
