Wait for the lease that an earlier owner may have given, and renew steadily

After a takeover the first answer of a VM made its clock known, but the lease that an earlier owner had given was not: a VM that was not reached, or left the list, before this owner's first extension had "run out" at once (end of the lease 0). The window was up to 400 ms after each takeover, as the first extension waited for a confirmed renewal of the ownership.

Change: the first answer under a new fence sets the lease's end to the longest that an earlier owner may have given; a new owner counts its ownership as confirmed when it begins; renewals go out every quarter of the lease, whether answers come or not, four open at most.

Tests: NewOwnerWaitsForTheLeaseOfTheEarlierOne and RenewsWhileAnswersAreLost fail on the former code.

--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -476,6 +476,25 @@
   EXPECT_EQ(PhaseOf(2), JobPhase::kComplete);
 }
 
+// Fails if a new owner takes the lease that an earlier owner gave for ended: a
+// VM that answered the first look and was silent after it lost its runs at
+// once, and they began a second time elsewhere (TWICE, a day with lost
+// answers).
+TEST_F(CellCoreTest, NewOwnerWaitsForTheLeaseOfTheEarlierOne) {
+  constexpr std::int64_t kLongerThanALeaseMs = 5'500;
+  AddVms(2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(200);
+  ASSERT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.TakeOver();
+  m_cell.Look();
+  m_cell.Vm(m_cell.m_starts[0].m_vm.m_id).m_reachable = false;
+  m_cell.Run(4'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(kLongerThanALeaseMs - 4'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
 // Fails if a snapshot loses or repeats attempts of a gang: the run that was
 // open at the snapshot was not counted when it failed, and the gang ran once
 // more than its queue allows (BUDGET, tapfind scale-1).
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -77,6 +77,12 @@
   if (!vm->m_fenced || vm->m_first_failed_call_ms != 0) {
     m_dirty = true;
   }
+  if (!vm->m_fenced) {
+    // An earlier owner may have extended the lease until now; from here on its
+    // calls are refused.
+    vm->m_lease_until_vm_ms =
+        std::max(vm->m_lease_until_vm_ms, report.m_vm_ms + kVmLeaseMs);
+  }
   vm->m_fenced = true;
   vm->m_look_due_ms = 0;
   vm->m_first_failed_call_ms = 0;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -81,6 +81,8 @@
 
   void Start() {
     m_started_ms = m_loop.Now().m_steady_ms;
+    // The store has just confirmed the ownership.
+    m_renewed_ms = m_started_ms;
     m_log.Load(m_owner.m_revision,
                [this](auto loaded) { OnLoaded(std::move(loaded)); });
   }
@@ -129,7 +131,9 @@
   }
 
   // The store confirmed the ownership by a renewal that was sent at this time.
-  void OnRenewed(std::int64_t sent_ms) { m_renewed_ms = sent_ms; }
+  void OnRenewed(std::int64_t sent_ms) {
+    m_renewed_ms = std::max(m_renewed_ms, sent_ms);
+  }
 
   // Nothing is in flight towards the store: the cell can be given up without
   // leaving callers in doubt.
--- a/Source/Core/cell/fake_async_store.h
+++ b/Source/Core/cell/fake_async_store.h
@@ -170,6 +170,7 @@
   }
 
   void KeepLease(LeaseId lease, StoreCallback<bool> done) {
+    ++m_renewals;
     Answer<bool>(kReadTimeoutMs, std::move(done), [this, lease] {
       return m_state.m_leases.count(lease) != 0
                  ? Result<bool>(true)
@@ -188,6 +189,8 @@
   std::int64_t m_late_ms = 3'000;
   std::size_t m_page_size = 3;
   std::size_t m_commits = 0;
+  // Renewals that were sent.
+  std::size_t m_renewals = 0;
   // How long an answer takes. A call whose time limit is shorter fails, and is
   // done all the same.
   std::int64_t m_latency_ms = 4;
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -152,6 +152,7 @@
   static constexpr std::int64_t kRetryMs = 100;
   // Renewals in one lease.
   static constexpr std::int64_t kRenewalsPerLease = 4;
+  static constexpr int kMostOpenRenewals = 4;
   static constexpr std::int64_t kCommitTimeoutMs = 600;
   static constexpr std::int64_t kYieldValidMs = 900;
   static constexpr std::int64_t kMillisPerCore = 1'000;
@@ -342,25 +343,32 @@
     Renew(m_lease);
   }
 
+  // Sent at a steady rate: an answer that is lost must not cost the lease.
   void Renew(LeaseId lease) {
     if (!m_owned || lease != m_lease) {
       return;
     }
+    if (m_open_renewals < kMostOpenRenewals) {
+      SendRenewal(lease);
+    }
+    Later(m_options.m_lease_ms / kRenewalsPerLease,
+          [this, lease] { Renew(lease); });
+  }
+
+  void SendRenewal(LeaseId lease) {
+    ++m_open_renewals;
     const std::int64_t sent_ms = m_loop.Now().m_steady_ms;
     m_store.KeepLease(lease, m_guard.Wrap([this, lease, sent_ms](auto kept) {
+      --m_open_renewals;
       if (!m_owned || lease != m_lease) {
         return;
       }
       if (kept) {
-        m_confirmed_ms = sent_ms;
+        m_confirmed_ms = std::max(m_confirmed_ms, sent_ms);
       } else if (kept.error().Code() == ErrorCode::kNotFound) {
         m_lease = 0;
         Lose("lease_ended");
-        return;
       }
-      const std::int64_t wait_ms =
-          kept ? m_options.m_lease_ms / kRenewalsPerLease : kRetryMs;
-      Later(wait_ms, [this, lease] { Renew(lease); });
     }));
   }
 
@@ -409,6 +417,8 @@
   bool m_store_was_away = false;
   bool m_resigned = false;
   LeaseId m_lease = 0;
+  // Renewals that are not answered yet.
+  int m_open_renewals = 0;
   std::int64_t m_confirmed_ms = 0;
   PrefixFeed<Store, Loop> m_feed;
 };
--- a/Source/Core/cell/ownership_test.cc
+++ b/Source/Core/cell/ownership_test.cc
@@ -233,6 +233,20 @@
   EXPECT_EQ(policy.Choose(120, 0, {{1, 500, 9'000}}, 10'600), 1U);
 }
 
+// Fails if one lost answer keeps the next renewals back: with a third of the
+// answers lost the owner's record went every 1.3 s.
+TEST_F(OwnershipTest, RenewsWhileAnswersAreLost) {
+  m_a.m_ownership.Start();
+  m_loop.Run(200);
+  ASSERT_TRUE(m_a.m_ownership.Owns());
+  m_a.m_store.m_fault = Fault::kLoseAnswer;
+  const std::size_t before = m_a.m_store.m_renewals;
+  constexpr std::int64_t kLeases = 4;
+  constexpr std::size_t kRenewals = 4 * kLeases;
+  m_loop.Run(kLeases * Daemon::Options("a", 0).m_lease_ms);
+  EXPECT_GE(m_a.m_store.m_renewals - before, kRenewals - 1);
+}
+
 // Fails if a daemon that leaves holds the cell, or takes it again.
 TEST_F(OwnershipTest, LeavingDaemonHandsOver) {
   StartBoth();
