--- a/Source/Core/cell/snapshot_model_test.cc
+++ b/Source/Core/cell/snapshot_model_test.cc
@@ -26,7 +26,7 @@
   for (int i = 0; i < steps; ++i) {
     StepSpec step =
         CellHarness::Step(static_cast<std::uint32_t>(*rc::gen::inRange(1, 4)),
-                          *rc::gen::inRange(1, 5) * 8'000);
+                          8'000 * *rc::gen::inRange<std::int64_t>(1, 5));
     step.m_gang = *rc::gen::inRange(0, 3) == 0;
     step.m_checkpoint = *rc::gen::inRange(0, 2) == 0;
     if (i > 0 && *rc::gen::inRange(0, 2) == 0) {
