--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -166,6 +166,9 @@
     handlers.m_on_ready = [this] { OnOwnerReady(); };
     handlers.m_on_superseded = [this] { m_ownership.OnSuperseded(); };
     handlers.m_on_stuck = [this] { AskForSuccessor(); };
+    handlers.m_verify = [this](std::function<void(bool)> done) {
+      m_ownership.Verify(std::move(done));
+    };
     handlers.m_remote_ask = [this](std::uint64_t peer, std::uint64_t number,
                                    const AskAdvice& ask) {
       LinkMessage message;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -53,6 +53,8 @@
     std::function<void()> m_on_superseded;
     // The store takes no writes from this daemon. Called again while it lasts.
     std::function<void()> m_on_stuck;
+    // Tells whether no other daemon has owned the cell until now.
+    std::function<void(std::function<void(bool)>)> m_verify;
     RemoteAsk m_remote_ask;
   };
 
@@ -151,6 +153,7 @@
   // While a write takes longer than this, advice is asked for this often.
   static constexpr std::int64_t kAskAheadMs = 40;
   static constexpr std::int64_t kReportStuckMs = 1'000;
+  static constexpr std::int64_t kRetryUnconfirmedMs = 1'000;
   // A write that takes longer than this shows that the store takes none.
   static constexpr std::int64_t kStoreStalledMs = 700;
 
@@ -372,9 +375,26 @@
       Log(LogLevel::kInfo, LogCategory::kCell, "job_refused",
           {{"job", waiting.m_job}, {"reason", reply.m_answer.m_reason}});
     }
+    if (reply.m_answer.m_outcome == CellOutcome::kGone) {
+      ReplyIfStillOwner(waiting.m_done, reply.m_answer);
+      return;
+    }
     waiting.m_done(std::move(reply.m_answer));
   }
 
+  // A successor may have accepted the job since: an owner that was frozen, or
+  // that asked for a successor, must not say that there is none.
+  void ReplyIfStillOwner(const AnswerDone& done, CellAnswer answer) {
+    m_handlers.m_verify(m_guard.Wrap([done, answer](bool owns) mutable {
+      if (!owns) {
+        answer.m_outcome = CellOutcome::kUnknown;
+        answer.m_reason = "ownership_unconfirmed";
+        answer.m_retry_after_ms = kRetryUnconfirmedMs;
+      }
+      done(answer);
+    }));
+  }
+
   void FailAsks(const std::vector<AskAdvice>& asks) {
     for (const AskAdvice& ask : asks) {
       AdviceAnswer failed;
--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cell/async_store.h"
 #include "cell/owner_log.h"
@@ -128,6 +129,16 @@
     });
   }
 
+  // Reads the record: true if it is still this daemon's, in which case no other
+  // daemon has owned the cell up to the moment of this call. Calls that come
+  // while a read is open share the next one.
+  void Verify(std::function<void(bool)> done) {
+    m_verifications.push_back(std::move(done));
+    if (!m_verifying) {
+      ReadRecord();
+    }
+  }
+
   // The log found another owner.
   void OnSuperseded() { Lose("superseded"); }
 
@@ -372,6 +383,32 @@
     }));
   }
 
+  void ReadRecord() {
+    m_verifying = true;
+    auto asked = std::make_shared<std::vector<std::function<void(bool)>>>();
+    asked->swap(m_verifications);
+    m_store.List(std::string(kOwnerKey), "",
+                 m_guard.Wrap([this, asked](Result<ItemPage> page) {
+                   m_verifying = false;
+                   const bool own = page && IsOwn(*page);
+                   if (!m_verifications.empty()) {
+                     ReadRecord();
+                   }
+                   for (const auto& done : *asked) {
+                     done(own);
+                   }
+                 }));
+  }
+
+  bool IsOwn(const ItemPage& page) const {
+    return m_owned &&
+           std::any_of(page.m_items.begin(), page.m_items.end(),
+                       [&](const StoreItem& item) {
+                         return item.m_key == kOwnerKey &&
+                                item.m_revision == m_owned->m_revision;
+                       });
+  }
+
   void Lose(const char* reason) {
     if (!m_owned) {
       return;
@@ -417,6 +454,9 @@
   bool m_store_was_away = false;
   bool m_resigned = false;
   LeaseId m_lease = 0;
+  // Callers that wait for the next read of the record.
+  std::vector<std::function<void(bool)>> m_verifications;
+  bool m_verifying = false;
   // Renewals that are not answered yet.
   int m_open_renewals = 0;
   std::int64_t m_confirmed_ms = 0;
--- a/Source/Core/cell/ownership_test.cc
+++ b/Source/Core/cell/ownership_test.cc
@@ -247,6 +247,31 @@
   EXPECT_GE(m_a.m_store.m_renewals - before, kRenewals - 1);
 }
 
+// Fails if an owner that was replaced unnoticed still vouches for what it
+// knows: it answered that jobs which its successor had accepted do not exist
+// (found by the soak, seeds 301 and 402).
+TEST_F(OwnershipTest, ReplacedOwnerDoesNotVouchForItsState) {
+  StartBoth();
+  std::vector<bool> verdicts;
+  const auto verify = [&] {
+    m_a.m_ownership.Verify([&](bool owns) { verdicts.push_back(owns); });
+  };
+  verify();
+  m_loop.Run(100);
+  EXPECT_EQ(verdicts, std::vector<bool>{true});
+  m_a.m_store.m_fault = Fault::kSilent;
+  m_loop.Run(4'000);  // Its watch ends as well.
+  m_b.m_ownership.OnOwnerYields(m_a.m_fence);
+  m_loop.Run(300);
+  ASSERT_TRUE(m_b.m_ownership.Owns());
+  ASSERT_TRUE(m_a.m_ownership.Owns());
+  m_a.m_store.m_fault = Fault::kNone;
+  verify();
+  verify();
+  m_loop.Run(1'000);
+  EXPECT_EQ(verdicts, (std::vector<bool>{true, false, false}));
+}
+
 // Fails if a daemon that leaves holds the cell, or takes it again.
 TEST_F(OwnershipTest, LeavingDaemonHandsOver) {
   StartBoth();
