--- /dev/null
+++ b/Tools/soak.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Plays the seeds of platform/soak/seeds.txt, then fresh ones.
+# Usage: Tools/soak.sh [RUNS [SECONDS]]   (fresh runs, time of each; 20, 15)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+runs="${1:-20}"
+seconds="${2:-15}"
+soak=(build/platform/mustardslip-soak
+  --daemon=build/platform/mustardslip-platformd)
+failed=0
+
+while read -r seed time _; do
+  "${soak[@]}" --seed="$seed" --seconds="$time" || failed=1
+done < <(grep -v '^#' platform/soak/seeds.txt)
+"${soak[@]}" --seed="$(date +%s)" --runs="$runs" --seconds="$seconds" || failed=1
+exit "$failed"
