Let the reactor own its pending timers

Ruled out: a leak in the soak's own objects (all reports name Reactor::After).

Change: the reactor keeps its pending timers and destroys them before the event base, as what they own may need it.

--- a/Source/Core/transport/reactor.h
+++ b/Source/Core/transport/reactor.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <unordered_map>
 #include <utility>
 
 #include "cell/cell_types.h"
@@ -39,14 +40,17 @@
     return {steady + kEpochMs, m_start_unix_ms + steady};
   }
 
-  // Runs `task` once, after `ms` milliseconds.
+  // Runs `task` once, after `ms` milliseconds; a task that is still pending
+  // when the reactor is destroyed is dropped.
   void After(std::int64_t ms, std::function<void()> task) {
     auto timer = std::make_unique<Timer>();
+    timer->m_reactor = this;
     timer->m_task = std::move(task);
     const timeval delay = ToTimeval(Milliseconds(ms));
-    // The callback owns the timer.
-    event_base_once(m_base.get(), -1, EV_TIMEOUT, &Reactor::OnTimer,
-                    timer.release(), &delay);
+    Timer* raw = timer.get();
+    m_timers.emplace(raw, std::move(timer));
+    event_base_once(m_base.get(), -1, EV_TIMEOUT, &Reactor::OnTimer, raw,
+                    &delay);
   }
 
   void Run() { event_base_dispatch(m_base.get()); }
@@ -56,6 +60,7 @@
   static constexpr std::int64_t kEpochMs = 1'000'000;
 
   struct Timer {
+    Reactor* m_reactor = nullptr;
     std::function<void()> m_task;
   };
   struct FreeBase {
@@ -63,7 +68,9 @@
   };
 
   static void OnTimer(evutil_socket_t, short, void* context) {  // NOLINT
-    const std::unique_ptr<Timer> timer(static_cast<Timer*>(context));
+    auto* timer = static_cast<Timer*>(context);
+    // Not in the map any more while the task runs.
+    const auto owned = timer->m_reactor->m_timers.extract(timer);
     timer->m_task();
   }
 
@@ -82,6 +89,9 @@
   std::unique_ptr<event_base, FreeBase> m_base;
   std::chrono::steady_clock::time_point m_start;
   std::int64_t m_start_unix_ms = 0;
+  // Timers that are pending. Declared after m_base: what their tasks own may
+  // need it while it is destroyed.
+  std::unordered_map<Timer*, std::unique_ptr<Timer>> m_timers;
 };
 
 }  // namespace mustardslip
