Keep no peer without idle connections in the HTTP client; remove dead code

Peers whose idle connections were all taken stayed in the map, and making room for a call searched all of them. Closing a connection stood in three places, taking an idle one in two. Exchange::m_finished and ToString(StopReason) were used nowhere. Behaviour is unchanged; transport_test passes.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -19,20 +19,6 @@
 
 }  // namespace
 
-std::string_view ToString(StopReason reason) {
-  switch (reason) {
-    case StopReason::kJobEnded:
-      return "job_ended";
-    case StopReason::kGangBroken:
-      return "gang_broken";
-    case StopReason::kUnknownRun:
-      return "unknown_run";
-    case StopReason::kMove:
-      return "move";
-  }
-  return "";
-}
-
 std::string ToString(const StepRef& step) {
   return fmt::format("{}.{}.{}", step.m_job, step.m_occurrence, step.m_step);
 }
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -99,8 +99,6 @@
   kMove,        // The VM is slow or stalled, and another has room.
 };
 
-std::string_view ToString(StopReason reason);
-
 struct StopRun {
   TaskRef m_task;
   std::uint32_t m_run = 0;
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -113,8 +113,7 @@
       return;
     }
     for (evhttp_connection* connection : idle->second) {
-      m_all.erase(connection);
-      evhttp_connection_free(connection);
+      Close(connection);
     }
     m_idle_count -= idle->second.size();
     m_idle.erase(idle);
@@ -124,6 +123,8 @@
   std::size_t Open() const { return m_all.size(); }
 
  private:
+  using IdleConnections = std::map<Endpoint, std::vector<evhttp_connection*>>;
+
   // A call that waits for a connection.
   struct Waiting {
     Endpoint m_peer;
@@ -137,7 +138,6 @@
     Endpoint m_peer;
     evhttp_connection* m_connection = nullptr;
     Done m_done;
-    bool m_finished = false;
   };
 
   static void Fill(evhttp_request* request, const Endpoint& peer,
@@ -162,22 +162,13 @@
   // True if a call to the peer needs no connection beyond the limit. Closes an
   // idle one to another peer for that.
   bool MakeRoomFor(const Endpoint& peer) {
-    const auto own = m_idle.find(peer);
-    if (m_all.size() < m_limits.m_most_open ||
-        (own != m_idle.end() && !own->second.empty())) {
+    if (m_all.size() < m_limits.m_most_open || m_idle.count(peer) != 0) {
       return true;
     }
-    if (m_idle_count == 0) {
+    if (m_idle.empty()) {
       return false;
     }
-    const auto other =
-        std::find_if(m_idle.begin(), m_idle.end(),
-                     [](const auto& entry) { return !entry.second.empty(); });
-    evhttp_connection* connection = other->second.back();
-    other->second.pop_back();
-    --m_idle_count;
-    m_all.erase(connection);
-    evhttp_connection_free(connection);
+    Close(TakeIdle(m_idle.begin()));
     return true;
   }
 
@@ -198,13 +189,24 @@
     }
   }
 
+  evhttp_connection* TakeIdle(IdleConnections::iterator peer) {
+    evhttp_connection* connection = peer->second.back();
+    peer->second.pop_back();
+    --m_idle_count;
+    if (peer->second.empty()) {
+      m_idle.erase(peer);
+    }
+    return connection;
+  }
+
+  void Close(evhttp_connection* connection) {
+    m_all.erase(connection);
+    evhttp_connection_free(connection);
+  }
+
   evhttp_connection* Take(const Endpoint& peer) {
-    std::vector<evhttp_connection*>& idle = m_idle[peer];
-    if (!idle.empty()) {
-      evhttp_connection* connection = idle.back();
-      idle.pop_back();
-      --m_idle_count;
-      return connection;
+    if (const auto idle = m_idle.find(peer); idle != m_idle.end()) {
+      return TakeIdle(idle);
     }
     evhttp_connection* connection = evhttp_connection_base_new(
         m_reactor.Base(), nullptr, peer.m_host.c_str(), peer.m_port);
@@ -258,18 +260,18 @@
   }
 
   void Release(const Endpoint& peer, evhttp_connection* connection, bool keep) {
-    std::vector<evhttp_connection*>& idle = m_idle[peer];
-    if (keep && idle.size() < kIdleConnectionsKept &&
-        m_idle_count < m_limits.m_most_idle) {
-      // Otherwise the limit of the last call closes the idle connection.
-      const timeval limit = ToTimeval(kIdleLimit);
-      evhttp_connection_set_timeout_tv(connection, &limit);
-      idle.push_back(connection);
-      ++m_idle_count;
+    const auto idle = m_idle.find(peer);
+    const std::size_t kept = idle == m_idle.end() ? 0 : idle->second.size();
+    if (!keep || kept >= kIdleConnectionsKept ||
+        m_idle_count >= m_limits.m_most_idle) {
+      Close(connection);
       return;
     }
-    m_all.erase(connection);
-    evhttp_connection_free(connection);
+    // Otherwise the limit of the last call closes the idle connection.
+    const timeval limit = ToTimeval(kIdleLimit);
+    evhttp_connection_set_timeout_tv(connection, &limit);
+    m_idle[peer].push_back(connection);
+    ++m_idle_count;
   }
 
   Reactor& m_reactor;
@@ -278,7 +280,8 @@
   std::deque<Waiting> m_waiting;
   // Connections in m_idle, over all peers.
   std::size_t m_idle_count = 0;
-  std::map<Endpoint, std::vector<evhttp_connection*>> m_idle;
+  // Invariant: no peer without an idle connection is in it.
+  IdleConnections m_idle;
   std::set<evhttp_connection*> m_all;
   std::uint64_t m_opened = 0;
 };
