--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -20,6 +20,24 @@
     m_cell.Run(100);
   }
 
+  // Job 1 is a gang whose first run failed; its second one is at work.
+  void StartGangThatFailedOnce(std::int64_t cpu) {
+    AddVms(3);
+    StepSpec gang = CellHarness::Step(2, cpu);
+    gang.m_gang = true;
+    m_cell.Submit(m_cell.Job(1, {gang}));
+    m_cell.Run(200);
+    m_cell.End(1, RunEnd::kFailed);
+    m_cell.Run(500);
+    ASSERT_EQ(m_cell.RunningOf(1), 2U);
+  }
+
+  // Another owner begins with a snapshot of the present state.
+  void TakeOverFromSnapshot() {
+    m_cell.m_log = m_cell.Core().State().Snapshot();
+    m_cell.TakeOver();
+  }
+
   JobPhase PhaseOf(int number) { return m_cell.Lookup(number).m_phase; }
 
   CellHarness m_cell;
@@ -499,16 +517,8 @@
 // open at the snapshot was not counted when it failed, and the gang ran once
 // more than its queue allows (BUDGET, tapfind scale-1).
 TEST_F(CellCoreTest, SnapshotKeepsTheAttemptsOfAGang) {
-  AddVms(3);
-  StepSpec gang = CellHarness::Step(2, 1'000);
-  gang.m_gang = true;
-  m_cell.Submit(m_cell.Job(1, {gang}));
-  m_cell.Run(200);
-  m_cell.End(1, RunEnd::kFailed);
-  m_cell.Run(500);
-  ASSERT_EQ(m_cell.RunningOf(1), 2U);
-  m_cell.m_log = m_cell.Core().State().Snapshot();
-  m_cell.TakeOver();
+  ASSERT_NO_FATAL_FAILURE(StartGangThatFailedOnce(1'000));
+  TakeOverFromSnapshot();
   // The second and the third run, which is the last that is allowed.
   for (int run = 0; run < 3; ++run) {
     m_cell.End(1, RunEnd::kFailed);
@@ -521,19 +531,12 @@
 // Fails if a failure that was counted before the snapshot counts again when
 // another member of the same run ends after it.
 TEST_F(CellCoreTest, SnapshotCountsARunOfAGangOnce) {
-  AddVms(3);
-  StepSpec gang = CellHarness::Step(2, 40'000);
-  gang.m_gang = true;
-  m_cell.Submit(m_cell.Job(1, {gang}));
-  m_cell.Run(200);
-  m_cell.End(1, RunEnd::kFailed);
-  m_cell.Run(500);
+  ASSERT_NO_FATAL_FAILURE(StartGangThatFailedOnce(40'000));
   m_cell.End(1, RunEnd::kFailed);
   // One member's end is read before the snapshot, the other's after it.
   m_cell.Look(m_cell.Vm(m_cell.m_starts.back().m_vm.m_id));
   m_cell.Pump();
-  m_cell.m_log = m_cell.Core().State().Snapshot();
-  m_cell.TakeOver();
+  TakeOverFromSnapshot();
   m_cell.Run(500);
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
   EXPECT_EQ(m_cell.RunningOf(1), 2U);
--- a/Source/Core/cell/ownership_test.cc
+++ b/Source/Core/cell/ownership_test.cc
@@ -45,7 +45,10 @@
 
 class OwnershipTest : public testing::Test {
  protected:
-  OwnershipTest() : m_a(m_state, m_loop, "a"), m_b(m_state, m_loop, "b") {}
+  OwnershipTest()
+      : m_a(m_state, m_loop, "a"),
+        m_b(m_state, m_loop, "b"),
+        m_small(m_state, m_loop, "small", 120) {}
 
   void StartBoth() {
     m_a.m_ownership.Start();
@@ -54,6 +57,13 @@
     m_loop.Run(200);
   }
 
+  // Both, and a daemon with little processor time beside them.
+  void StartAll() {
+    StartBoth();
+    m_small.m_ownership.Start();
+    m_loop.Run(200);
+  }
+
   // The store notices that the owner is silent.
   void EndLeaseOfOwner() {
     m_state.EndLease(m_state.m_values.at(std::string(kOwnerKey)).m_lease);
@@ -63,6 +73,7 @@
   ManualLoop m_loop;
   Daemon m_a;
   Daemon m_b;
+  Daemon m_small;
 };
 
 // Fails if two daemons own the cell, or a second one takes a held record.
@@ -165,30 +176,24 @@
 // much: on 0.12 of a core the log took 4.2 s to load, and nothing was served
 // until the owner was replaced.
 TEST_F(OwnershipTest, DaemonWithMoreProcessorTimeGoesFirst) {
-  Daemon small(m_state, m_loop, "small", 120);
-  StartBoth();
-  small.m_ownership.Start();
-  m_loop.Run(200);
-  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  StartAll();
+  m_small.m_ownership.OnOwnerDead(m_a.m_fence);
   m_loop.Run(10);
   m_b.m_ownership.OnOwnerDead(m_a.m_fence);
   m_loop.Run(500);
   EXPECT_TRUE(m_b.m_ownership.Owns());
-  EXPECT_EQ(small.m_acquired, 0);
+  EXPECT_EQ(m_small.m_acquired, 0);
 }
 
 // Fails if the small daemon goes first because the store was away in between.
 TEST_F(OwnershipTest, ProcessorTimeCountsWhenTheStoreIsBack) {
-  Daemon small(m_state, m_loop, "small", 120);
-  StartBoth();
-  small.m_ownership.Start();
-  m_loop.Run(200);
-  small.m_store.m_fault = Fault::kRefuse;
+  StartAll();
+  m_small.m_store.m_fault = Fault::kRefuse;
   m_b.m_store.m_fault = Fault::kRefuse;
-  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  m_small.m_ownership.OnOwnerDead(m_a.m_fence);
   m_b.m_ownership.OnOwnerDead(m_a.m_fence);
   m_loop.Run(2'050);
-  small.m_store.m_fault = Fault::kNone;
+  m_small.m_store.m_fault = Fault::kNone;
   m_b.m_store.m_fault = Fault::kNone;
   m_loop.Run(500);
   EXPECT_TRUE(m_b.m_ownership.Owns());
@@ -196,13 +201,10 @@
 
 // Fails if no small daemon takes the cell where no other is left.
 TEST_F(OwnershipTest, SmallDaemonTakesWhatNobodyElseDoes) {
-  Daemon small(m_state, m_loop, "small", 120);
-  StartBoth();
-  small.m_ownership.Start();
-  m_loop.Run(200);
-  small.m_ownership.OnOwnerDead(m_a.m_fence);
+  StartAll();
+  m_small.m_ownership.OnOwnerDead(m_a.m_fence);
   m_loop.Run(1'000);
-  EXPECT_TRUE(small.m_ownership.Owns());
+  EXPECT_TRUE(m_small.m_ownership.Owns());
 }
 
 // Fails if a small owner keeps the cell beside a daemon with far more processor
