Index the ready steps and the free capacity of VMs in the cell's scheduler

Cause: a pass of the scheduler looked at each ready step with each VM, looked verdicts up in string maps for each pair, and sorted all steps anew. With 540 VMs and 3,000 ready steps a pass took 49 ms of a whole core, at 33 passes a second more than a core; large VMs of the system have half a core.

Change: ReadySteps keeps the steps in scheduling order as jobs change, so that a pass neither looks jobs up nor sorts. PoolCapacity finds VMs with room through the fit tree that placement/ has. A step that can neither start nor ask is passed over in constant time. scheduler.cc is split by duty into the pass, StepPlacement (eligibility of VMs for a step) and the advice plan. The tick no longer visits every job: due occurrences are kept by time, and unanswered stops are considered every 200 ms.

--- /dev/null
+++ b/Source/Core/cell/advice_plan.cc
@@ -0,0 +1,171 @@
+// Choice of the VMs named in calls to the advice service.
+#include "cell/advice_plan.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace mustardslip {
+namespace {
+
+// Factor on the expected need for VMs, since verdicts vary.
+constexpr double kAdviceSurplus = 1.3;
+constexpr std::size_t kMinVmsPerAdviceCall = 4;
+constexpr std::size_t kMaxVmsPerAdviceCall = 100;
+// Number of VMs that an advice call for a gang usually names.
+constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
+
+void SortLargestFirst(std::vector<SlotFit>& fits) {
+  std::stable_sort(
+      fits.begin(), fits.end(),
+      [](const SlotFit& a, const SlotFit& b) { return a.m_fit > b.m_fit; });
+}
+
+// A different start in the pool for each job, so that jobs do not all ask about
+// the same VMs.
+std::size_t FirstSlot(const StepPlacement& step, const PoolCapacity& pool) {
+  const std::string& job = step.OwningJob().m_spec.m_id;
+  return std::hash<std::string>{}(job) % pool.Slots().size();
+}
+
+// Recommended VMs whose tickets would expire during the next call, until the
+// gang fits on the VMs considered.
+std::vector<std::string> VmsWithExpiringTickets(
+    const StepPlacement& step, const std::vector<SlotFit>& recommended,
+    std::int64_t tasks, std::size_t max_vms) {
+  const std::int64_t call_ms =
+      AdviceCallMs(step.Queue(), kTypicalVmsPerAdviceCall);
+  const double wanted = static_cast<double>(tasks) * kAdviceSurplus;
+  double expected = 0;
+  std::vector<std::string> vms;
+  for (const auto& [slot, fit] : recommended) {
+    if (expected >= wanted || vms.size() >= max_vms) {
+      break;
+    }
+    expected += static_cast<double>(fit);
+    if (!step.HasTicket(*slot, call_ms)) {
+      vms.push_back(slot->VmId());
+    }
+  }
+  return vms;
+}
+
+// VMs without a verdict, those with the most capacity first. The fixed cost of
+// a call is high, so it names at least kTypicalVmsPerAdviceCall VMs if there
+// are as many.
+std::vector<std::string> UnknownVms(const StepPlacement& step,
+                                    PoolCapacity& pool, std::int64_t tasks,
+                                    double good_share) {
+  std::vector<SlotFit> fits;
+  pool.VisitFitting(step.Spec().Charge(), 0, [&](Slot& slot) {
+    const std::int64_t fit =
+        step.HasRequiredLabel(slot) && step.AdviceFor(slot) == nullptr
+            ? step.Fit(slot)
+            : 0;
+    if (fit > 0) {
+      fits.push_back({&slot, fit});
+    }
+    return true;
+  });
+  SortLargestFirst(fits);
+  const double wanted = static_cast<double>(tasks) * kAdviceSurplus;
+  double expected = 0;
+  std::vector<std::string> vms;
+  for (const auto& [slot, fit] : fits) {
+    const bool enough =
+        expected >= wanted && vms.size() >= kTypicalVmsPerAdviceCall;
+    if (enough || vms.size() >= kMaxVmsPerAdviceCall) {
+      break;
+    }
+    expected += static_cast<double>(fit) * good_share;
+    vms.push_back(slot->VmId());
+  }
+  return vms;
+}
+
+}  // namespace
+
+std::int64_t AdviceCallMs(const QueueRules& queue, std::size_t vms) {
+  return queue.m_advice_base_ms +
+         static_cast<std::int64_t>(queue.m_advice_per_vm_ms *
+                                   static_cast<double>(vms));
+}
+
+std::vector<SlotFit> RecommendedFits(const StepPlacement& step,
+                                     PoolCapacity& pool) {
+  std::vector<SlotFit> fits;
+  step.VisitRecommended(pool, [&](Slot& slot) {
+    const std::int64_t fit = step.HasRequiredLabel(slot) ? step.Fit(slot) : 0;
+    if (fit > 0) {
+      fits.push_back({&slot, fit});
+    }
+  });
+  SortLargestFirst(fits);
+  return fits;
+}
+
+std::int64_t TotalFit(const std::vector<SlotFit>& fits) {
+  std::int64_t total = 0;
+  for (const SlotFit& one : fits) {
+    total += one.m_fit;
+  }
+  return total;
+}
+
+std::vector<std::string> ChooseVmsForTasks(const StepPlacement& step,
+                                           PoolCapacity& pool,
+                                           std::int64_t waiting,
+                                           double good_share) {
+  const double wanted = static_cast<double>(waiting) * kAdviceSurplus;
+  double expected = 0;
+  std::vector<std::string> vms;
+  const auto enough = [&] {
+    return vms.size() >= kMaxVmsPerAdviceCall ||
+           (expected >= wanted && vms.size() >= kMinVmsPerAdviceCall);
+  };
+  const auto add = [&](const Slot& slot, std::int64_t fit, double share) {
+    expected += static_cast<double>(std::min(fit, waiting)) * share;
+    vms.push_back(slot.VmId());
+  };
+  // VMs already recommended come first: only their ticket is missing.
+  step.VisitRecommended(pool, [&](Slot& slot) {
+    const std::int64_t fit = step.Fit(slot);
+    if (!enough() && fit > 0 && !step.HasTicket(slot) &&
+        step.HasRequiredLabel(slot)) {
+      add(slot, fit, 1.0);
+    }
+  });
+  pool.VisitFitting(step.Spec().Charge(), FirstSlot(step, pool),
+                    [&](Slot& slot) {
+                      if (enough()) {
+                        return false;
+                      }
+                      const std::int64_t fit = step.Fit(slot);
+                      if (fit > 0 && step.AdviceFor(slot) == nullptr &&
+                          step.HasRequiredLabel(slot)) {
+                        add(slot, fit, good_share);
+                      }
+                      return true;
+                    });
+  return vms;
+}
+
+std::vector<std::string> ChooseVmsForGang(const StepPlacement& step,
+                                          PoolCapacity& pool,
+                                          std::int64_t tasks,
+                                          double good_share) {
+  const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
+  const std::int64_t missing = tasks - TotalFit(recommended);
+  std::vector<std::string> vms;
+  if (missing > 0) {
+    vms = UnknownVms(step, pool, missing, good_share);
+    if (vms.empty()) {
+      return vms;
+    }
+  }
+  std::vector<std::string> expiring = VmsWithExpiringTickets(
+      step, recommended, tasks, kMaxVmsPerAdviceCall - vms.size());
+  vms.insert(vms.end(), expiring.begin(), expiring.end());
+  return vms;
+}
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/advice_plan.h
@@ -0,0 +1,47 @@
+// Chooses the VMs that a call to the advice service names for a step. Each call
+// takes time in proportion to the VMs named, and a ticket that is not used in
+// time was asked for in vain.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cell/pool_capacity.h"
+#include "cell/step_placement.h"
+
+namespace mustardslip {
+
+// A VM and how many tasks of the step fit on it.
+struct SlotFit {
+  Slot* m_slot = nullptr;
+  std::int64_t m_fit = 0;
+
+  bool operator==(const SlotFit&) const = default;
+};
+
+// The VMs with capacity for the step among those the advice service
+// recommended, the largest fit first.
+std::vector<SlotFit> RecommendedFits(const StepPlacement& step,
+                                     PoolCapacity& pool);
+
+std::int64_t TotalFit(const std::vector<SlotFit>& fits);
+
+// Enough VMs with capacity to place `waiting` tasks, if `good_share` of those
+// without a verdict are recommended. Empty if there is none to ask about.
+std::vector<std::string> ChooseVmsForTasks(const StepPlacement& step,
+                                           PoolCapacity& pool,
+                                           std::int64_t waiting,
+                                           double good_share);
+
+// VMs for a gang of `tasks`: new tickets for the recommended VMs if the gang
+// fits there, and VMs without a verdict otherwise.
+std::vector<std::string> ChooseVmsForGang(const StepPlacement& step,
+                                          PoolCapacity& pool,
+                                          std::int64_t tasks,
+                                          double good_share);
+
+// The expected duration of an advice call about this many VMs, in milliseconds.
+std::int64_t AdviceCallMs(const QueueRules& queue, std::size_t vms);
+
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -5,6 +5,8 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace mustardslip {
 namespace {
@@ -14,6 +16,8 @@
 constexpr std::int64_t kRetryWhenFullMs = 1'000;
 // Interval at which expired ended jobs are removed.
 constexpr std::int64_t kSweepMs = 5'000;
+// Interval at which unanswered stops are considered for a repetition.
+constexpr std::int64_t kStopCheckMs = 200;
 // Added to the retention because the clocks of daemons differ.
 constexpr std::int64_t kRetentionSlackMs = 10'000;
 
@@ -36,7 +40,7 @@
   }
   for (const auto& [id, job] : m_state.ActiveJobs()) {
     ReleaseOccurrences(*job, now);
-    RefreshReady(id, *job);
+    m_ready.Refresh(*job);
   }
 }
 
@@ -45,14 +49,19 @@
     return;
   }
   m_rules = std::move(rules);
+  std::unordered_map<std::string_view, const QueueRules*> queues;
+  for (const QueueRules& queue : m_rules.m_queues) {
+    queues[queue.m_name] = &queue;
+  }
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    for (const QueueRules& queue : m_rules.m_queues) {
-      // Jobs of a removed queue keep the queue's last rules. A job stays in the
-      // pool (service) that it was accepted for.
-      if (queue.m_name == job->m_spec.m_queue.m_name &&
-          queue.m_service == job->m_spec.m_queue.m_service) {
-        job->m_spec.m_queue = queue;
-      }
+    const auto found = queues.find(job->m_spec.m_queue.m_name);
+    // Jobs of a removed queue keep the queue's last rules. A job stays in the
+    // pool (service) that it was accepted for.
+    if (found != queues.end() &&
+        found->second->m_service == job->m_spec.m_queue.m_service &&
+        *found->second != job->m_spec.m_queue) {
+      job->m_spec.m_queue = *found->second;
+      m_ready.Reorder(*job);
     }
   }
   m_dirty = true;
@@ -90,6 +99,7 @@
                                                 now.m_steady_ms);
   }
   ReleaseOccurrences(job, now);
+  m_ready.Reorder(job);
   ++m_counters.m_accepted;
   Defer(DeferredReply{id, {token, accepted}});
 }
@@ -256,7 +266,25 @@
 
 void CellCore::OnTick(const CellTime& now) {
   ExpireVmLeases(now);
+  ReleaseDueOccurrences(now);
+  if (now.m_steady_ms >= m_next_stop_check_ms) {
+    m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
+    RepeatStops(now);
+  }
+  if (now.m_steady_ms - m_last_sweep_ms >= kSweepMs) {
+    m_last_sweep_ms = now.m_steady_ms;
+    m_state.DropJobsEndedBefore(now.m_unix_ms - m_bounds.m_retention_ms -
+                                kRetentionSlackMs);
+  }
+  m_dirty = true;
+}
+
+// Sends the stops that were not answered again.
+void CellCore::RepeatStops(const CellTime& now) {
   for (const auto& [id, job] : m_state.ActiveJobs()) {
+    if (job->m_open_runs == 0) {
+      continue;
+    }
     if (job->Ended()) {
       // The end of the job is durable once its phase is visible.
       if (job->m_visible_phase == job->Phase()) {
@@ -264,10 +292,6 @@
       }
       continue;
     }
-    if (job->m_spec.m_schedule.m_repeats > 0) {
-      ReleaseOccurrences(*job, now);
-      RefreshReady(id, *job);
-    }
     for (auto& [number, occurrence] : job->m_occurrences) {
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
         const StepState& step = occurrence.m_steps[s];
@@ -277,51 +301,46 @@
       }
     }
   }
-  if (now.m_steady_ms - m_last_sweep_ms >= kSweepMs) {
-    m_last_sweep_ms = now.m_steady_ms;
-    m_state.DropJobsEndedBefore(now.m_unix_ms - m_bounds.m_retention_ms -
-                                kRetentionSlackMs);
+}
+
+void CellCore::ReleaseDueOccurrences(const CellTime& now) {
+  while (!m_due.empty() && m_due.begin()->first <= now.m_unix_ms) {
+    const std::string id = m_due.begin()->second;
+    m_due.erase(m_due.begin());
+    Job* job = m_state.FindJob(id);
+    if (job != nullptr && !job->Ended()) {
+      ReleaseOccurrences(*job, now);
+      m_ready.Refresh(*job);
+    }
   }
-  m_dirty = true;
 }
 
+// Creates the occurrences that are due and notes when the next one is.
 void CellCore::ReleaseOccurrences(Job& job, const CellTime& now) {
   if (job.m_spec.m_schedule.m_repeats == 0) {
     return;
   }
-  for (std::uint32_t k = 0; k < job.OccurrenceCount(); ++k) {
-    if (job.DueUnixMs(k) > now.m_unix_ms) {
-      break;
-    }
-    job.OccurrenceAt(k);
+  std::uint32_t& next = job.m_released_occurrences;
+  while (next < job.OccurrenceCount() && job.DueUnixMs(next) <= now.m_unix_ms) {
+    job.OccurrenceAt(next);
+    ++next;
   }
-}
-
-void CellCore::RefreshReady(const std::string& id, Job& job) {
-  for (auto& [number, occurrence] : job.m_occurrences) {
-    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      const StepState& step = occurrence.m_steps[s];
-      const bool waiting = step.m_done + step.m_open < step.m_tasks.size();
-      const StepRef ref{id, number, s};
-      if (waiting && !job.Ended() && job.StepIsReleased(occurrence, s)) {
-        m_ready.insert(ref);
-      } else {
-        m_ready.erase(ref);
-      }
-    }
+  if (next < job.OccurrenceCount()) {
+    m_due.emplace(job.DueUnixMs(next), job.m_spec.m_id);
   }
 }
 
 void CellCore::Schedule(const CellTime& now, std::size_t free_advice_calls) {
   // A planned run reserves capacity, so nothing is planned that cannot be
   // written.
-  if (!m_dirty || !m_store_writable || m_ready.empty()) {
+  if (!m_dirty || !m_store_writable || m_ready.Empty()) {
     return;
   }
   m_dirty = false;
   ++m_counters.m_passes;
   ScheduleResult result =
       m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls);
+  m_counters.m_vms_examined += result.m_vms_examined;
   for (Placement& placement : result.m_placements) {
     Append(RunPlanned{placement.m_task, placement.m_run, placement.m_vm});
     m_state.FindRun(placement.m_task, placement.m_run)->m_awaiting_log = true;
@@ -335,11 +354,12 @@
 
 void CellCore::RequestAdviceAhead(const CellTime& now,
                                   std::size_t free_advice_calls) {
-  if (!m_store_writable || m_ready.empty() || free_advice_calls == 0) {
+  if (!m_store_writable || m_ready.Empty() || free_advice_calls == 0) {
     return;
   }
   ScheduleResult result =
       m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls);
+  m_counters.m_vms_examined += result.m_vms_examined;
   for (AdviceRequest& request : result.m_advice_requests) {
     ++m_counters.m_asks;
     m_effects.push_back(std::move(request));
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -43,6 +44,8 @@
   std::map<RunEnd, std::uint64_t> m_ends;
   std::uint64_t m_asks = 0;
   std::uint64_t m_passes = 0;
+  // VMs that scheduling passes looked at, each time counted.
+  std::uint64_t m_vms_examined = 0;
 };
 
 class CellCore {
@@ -114,7 +117,7 @@
   CellState& State() { return m_state; }
   const CellState& State() const { return m_state; }
   const CellCounters& Counters() const { return m_counters; }
-  const Scheduler::ReadySteps& Ready() const { return m_ready; }
+  const ReadySteps& Ready() const { return m_ready; }
 
  private:
   // The following structs are effects that wait until their batch is durable.
@@ -185,15 +188,19 @@
   void MarkRunsLost(VmState& vm, const CellTime& now);
   void ExpireVmLeases(const CellTime& now);
   void ReleaseOccurrences(Job& job, const CellTime& now);
+  void ReleaseDueOccurrences(const CellTime& now);
+  void RepeatStops(const CellTime& now);
   void OnJobsChanged();
-  void RefreshReady(const std::string& id, Job& job);
 
   CellBounds m_bounds;
   CellState m_state;
   CellRules m_rules;
   Scheduler m_scheduler;
   TeamRateLimiter m_team_rate_limiter;
-  Scheduler::ReadySteps m_ready;
+  ReadySteps m_ready;
+  // When the next occurrence of each scheduled job is due, in Unix
+  // milliseconds. May hold jobs that have ended.
+  std::set<std::pair<std::int64_t, std::string>> m_due;
   Batch m_open;
   std::optional<Batch> m_in_flight;
   std::vector<Effect> m_effects;
@@ -202,6 +209,7 @@
   // Owner's steady clock when recovery finished.
   std::int64_t m_recovered_ms = 0;
   std::int64_t m_last_sweep_ms = 0;
+  std::int64_t m_next_stop_check_ms = 0;
   CellCounters m_counters;
 };
 
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "cell/cell_core.h"
+#include "cell/pool_capacity.h"
 
 namespace mustardslip {
 
@@ -24,7 +25,7 @@
     if (job->m_visible_phase != phase) {
       Defer(PublishPhase{id, phase});
     }
-    RefreshReady(id, *job);
+    m_ready.Refresh(*job);
     m_dirty = true;
   }
 }
@@ -93,8 +94,8 @@
     m_open.m_deferred.clear();
   }
   for (const std::string& id : withdrawn) {
+    m_ready.Remove(*m_state.FindJob(id));
     m_state.Withdraw(id);
-    std::erase_if(m_ready, [&](const StepRef& ref) { return ref.m_job == id; });
   }
 }
 
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "cell/cell_core.h"
+#include "cell/pool_capacity.h"
 #include "cell/vm_pace.h"
 
 namespace mustardslip {
@@ -378,6 +379,8 @@
     advice.m_ticket = row.m_ticket;
     advice.m_valid_until_ms =
         now.m_steady_ms + answer.m_validity_ms - kTicketTransitMs;
+    step.m_tickets_until_ms =
+        std::max(step.m_tickets_until_ms, advice.m_valid_until_ms);
   }
   m_scheduler.OnAdvice(job->m_spec.m_queue.m_name, answer.m_asked.size(),
                        answer.m_good.size());
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -75,8 +75,9 @@
   set("starts_not_begun", static_cast<double>(counters.m_not_begun));
   set("advice_calls", static_cast<double>(counters.m_asks));
   set("scheduling_passes", static_cast<double>(counters.m_passes));
+  set("vms_examined", static_cast<double>(counters.m_vms_examined));
   set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
-  set("steps_waiting", static_cast<double>(core->Ready().size()));
+  set("steps_waiting", static_cast<double>(core->Ready().Size()));
   for (const auto& [end, count] : counters.m_ends) {
     m_ends.Add({{"how", std::string(ToString(end))}})
         .Set(static_cast<double>(count));
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -68,6 +68,16 @@
   std::int64_t m_valid_until_ms = 0;
 };
 
+// A step's place in the scheduling order (see ReadySteps).
+struct ReadyOrder {
+  bool m_over_rate = false;
+  std::int64_t m_priority = 0;
+  std::int64_t m_latest_start_unix_ms = 0;
+
+  auto operator<=>(const ReadyOrder&) const = default;
+  bool operator==(const ReadyOrder&) const = default;
+};
+
 struct StepState {
   std::vector<TaskState> m_tasks;
   std::uint32_t m_done = 0;
@@ -86,6 +96,10 @@
   // Volatile: the newest run of a gang that must not continue because a member
   // ended or is being moved.
   std::uint32_t m_last_aborted_run = 0;
+  // Volatile: latest end of a ticket in m_advice, on the owner's steady clock.
+  std::int64_t m_tickets_until_ms = 0;
+  // Volatile: set while the step is in ReadySteps, which maintains it.
+  std::optional<ReadyOrder> m_ready_order;
 
   bool Done() const { return m_done == m_tasks.size(); }
 };
@@ -112,6 +126,8 @@
   std::int64_t m_accepted_unix_ms = 0;
   std::map<std::uint32_t, Occurrence> m_occurrences;
   std::uint32_t m_done_occurrences = 0;
+  // Volatile: scheduled occurrences that were released, the first ones.
+  std::uint32_t m_released_occurrences = 0;
   bool m_started = false;
   // Volatile: a VM confirmed a run. Until then the job counts as waiting, even
   // if a start is planned.
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -1,22 +1,21 @@
 // Decides which tasks start on which VMs, and about which VMs to call the
 // advice service. Called by CellCore; performs no I/O.
 //
-// Designed for a load of 80 to 150 % of the fleet's capacity, tasks from a
-// tenth of a VM to half a VM in size, gangs of several VMs, and wrongly
-// declared sizes and run times. Sort order: jobs within their team's rate, then
-// jobs that can still meet their objective, then the queue's priority, then the
-// latest start at which the rest of the job meets its objective.
+// Designed for a load of 80 to 150 % of the fleet's capacity with a backlog of
+// thousands of steps, tasks from a tenth of a VM to half a VM in size, gangs of
+// several VMs, and wrongly declared sizes and run times. A pass looks at a step
+// that can neither start nor ask for advice in constant time, and at VMs only
+// through the index of their free capacity. ReadySteps defines the order.
 #pragma once
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
+#include "cell/ready_steps.h"
 
 namespace mustardslip {
 
@@ -33,13 +32,12 @@
 struct ScheduleResult {
   std::vector<Placement> m_placements;
   std::vector<AdviceRequest> m_advice_requests;
+  // VMs that the pass looked at, each time counted: its work.
+  std::uint64_t m_vms_examined = 0;
 };
 
 class Scheduler {
  public:
-  // Steps whose dependencies are done and that have tasks to start.
-  using ReadySteps = std::set<StepRef>;
-
   // Returns at most `free_advice_calls` advice requests. Records the requested
   // VMs in the state.
   ScheduleResult Decide(CellState& state, const ReadySteps& ready,
@@ -50,8 +48,6 @@
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
 
  private:
-  struct Slot;
-  struct Candidate;
   class Pass;
 
   double GoodShare(const std::string& queue) const;
@@ -59,7 +55,4 @@
   std::map<std::string, double> m_good_share;
 };
 
-// True if the VM may receive starts at `now_ms` (owner's steady clock).
-bool IsUsable(const VmState& vm, std::int64_t now_ms);
-
 }  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/scheduler_load_test.cc
@@ -0,0 +1,160 @@
+// Tests of the scheduling pass and its indexes under the load of a large fleet:
+// hundreds of VMs and thousands of waiting steps.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "cell/cell_harness.h"
+#include "cell/pool_capacity.h"
+#include "cell/ready_steps.h"
+
+namespace mustardslip {
+namespace {
+
+constexpr Resources kVmCapacity{64'000, 128'000, 0};
+
+Job MakeTestJob(int number, std::int64_t priority, std::int64_t estimate_ms,
+                std::int64_t accepted_unix_ms) {
+  JobAccepted record;
+  record.m_spec.m_id = CellHarness::Id(number);
+  record.m_spec.m_queue.m_priority = priority;
+  StepSpec step;
+  step.m_estimate_ms = estimate_ms;
+  record.m_spec.m_steps = {step};
+  record.m_accepted_unix_ms = accepted_unix_ms;
+  return MakeJob(record);
+}
+
+// The order as a sort at `now_unix_ms` defines it.
+auto SortKey(const Job& job, std::int64_t now_unix_ms) {
+  const std::int64_t latest_start =
+      job.ObjectiveUnixMs(0) - job.CriticalPathFromMs(0);
+  return std::make_tuple(job.m_over_rate, latest_start < now_unix_ms,
+                         job.m_spec.m_queue.m_priority, latest_start,
+                         job.m_spec.m_id);
+}
+
+// Fails if the index visits steps in another order than a sort at that time:
+// a step that became late would go before steps that can still be on time.
+RC_GTEST_PROP(ReadyStepsTest, VisitsInTheOrderOfASort, ()) {
+  const int count = *rc::gen::inRange(0, 30);
+  std::vector<Job> jobs;
+  for (int i = 0; i < count; ++i) {
+    jobs.push_back(MakeTestJob(i, *rc::gen::inRange(0, 3),
+                               *rc::gen::inRange(0, 10),
+                               *rc::gen::inRange(0, 20)));
+    jobs.back().m_over_rate = *rc::gen::arbitrary<bool>();
+  }
+  ReadySteps ready;
+  for (Job& job : jobs) {
+    ready.Refresh(job);
+  }
+  for (Job& job : jobs) {
+    if (*rc::gen::inRange(0, 4) == 0) {
+      job.m_spec.m_queue.m_priority = *rc::gen::inRange(0, 3);
+      ready.Reorder(job);
+    }
+  }
+  const std::int64_t now_unix_ms = *rc::gen::inRange(0, 25);
+  std::vector<const Job*> expected;
+  for (Job& job : jobs) {
+    if (*rc::gen::inRange(0, 4) == 0) {
+      job.m_cancelled = true;
+      ready.Refresh(job);
+    } else {
+      expected.push_back(&job);
+    }
+  }
+  std::sort(expected.begin(), expected.end(),
+            [&](const Job* left, const Job* right) {
+              return SortKey(*left, now_unix_ms) < SortKey(*right, now_unix_ms);
+            });
+  std::vector<const Job*> visited;
+  ready.Visit(now_unix_ms, [&](const ReadyStep& step) {
+    visited.push_back(step.m_job);
+    return true;
+  });
+  RC_ASSERT(visited == expected);
+  RC_ASSERT(ready.Size() == expected.size());
+}
+
+// Fails if the index overlooks a VM with room, or offers one without, after
+// reservations.
+RC_GTEST_PROP(PoolCapacityTest, VisitsExactlyTheVmsWithRoom, ()) {
+  const int count = *rc::gen::inRange(1, 40);
+  std::vector<VmState> vms(static_cast<std::size_t>(count));
+  PoolCapacity pool;
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    vms[i].m_description.m_incarnation.m_id = "vm-" + std::to_string(i);
+    vms[i].m_description.m_capacity = {*rc::gen::inRange(0, 8),
+                                       *rc::gen::inRange(0, 8), 0};
+    pool.Add(vms[i]);
+  }
+  pool.Finish(0);
+  for (Slot& slot : pool.Slots()) {
+    if (*rc::gen::arbitrary<bool>()) {
+      pool.Reserve(slot, {*rc::gen::inRange(0, 9), 0, 0});
+    }
+  }
+  const Resources need{*rc::gen::inRange(0, 8), *rc::gen::inRange(0, 8), 0};
+  const auto first = static_cast<std::size_t>(*rc::gen::inRange(0, count));
+  std::vector<const Slot*> expected;
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    const Slot& slot = pool.Slots()[(first + i) % vms.size()];
+    if (need.FitsIn(slot.m_free)) {
+      expected.push_back(&slot);
+    }
+  }
+  std::vector<const Slot*> visited;
+  pool.VisitFitting(need, first, [&](const Slot& slot) {
+    visited.push_back(&slot);
+    return true;
+  });
+  RC_ASSERT(visited == expected);
+  RC_ASSERT(pool.HasRoom(need) == !expected.empty());
+}
+
+class SchedulerLoadTest : public testing::Test {
+ protected:
+  static constexpr int kVms = 540;
+  static constexpr int kSteps = 3'000;
+
+  QueueRules AdvisedQueue() const {
+    QueueRules queue = m_cell.Queue();
+    queue.m_needs_advice = true;
+    queue.m_advice_base_ms = 16;
+    return queue;
+  }
+
+  CellHarness m_cell;
+};
+
+// A backlog that exceeds the room of the fleet. Fails if the work of a pass
+// grows with steps times VMs: passes then take longer than tickets are valid,
+// starts come too late, and the backlog never gets shorter.
+TEST_F(SchedulerLoadTest, APassOverABacklogLooksAtFewVms) {
+  for (int i = 0; i < kVms; ++i) {
+    m_cell.AddVm("vm-" + std::to_string(i), kVmCapacity);
+  }
+  m_cell.Look();
+  m_cell.m_advice = [](const std::string& vm) { return vm.back() % 2 == 0; };
+  for (int i = 0; i < kSteps; ++i) {
+    m_cell.Submit(
+        m_cell.Job(i, {CellHarness::Step(3, 16'000)}, AdvisedQueue()));
+  }
+  m_cell.Run(1'000);
+  const CellCounters before = m_cell.Core().Counters();
+  m_cell.Run(1'000);
+  const CellCounters& after = m_cell.Core().Counters();
+  const std::uint64_t passes = after.m_passes - before.m_passes;
+  const std::uint64_t examined = after.m_vms_examined - before.m_vms_examined;
+  ASSERT_GT(passes, 0U);
+  EXPECT_GT(m_cell.Core().Ready().Size(), 2'000U);
+  // A twentieth of all pairs of a step and a VM.
+  EXPECT_LT(examined / passes, std::uint64_t{kVms} * kSteps / 20);
+}
+
+}  // namespace
+}  // namespace mustardslip
