Reserve for a waiting gang the room that it can use now

Cause: a gang that could not start reserved whole VMs, those with the most free capacity, until they would hold it when empty, and left the room that it could use at once on other recommended VMs to later steps. It also asked for few VMs at a time: other steps took the room during the call of half a second, and the gang asked again, two to five times.

Change: ReserveForGang keeps the room that fits members now, and whole VMs only for the members that are missing. Calls for gangs name VMs for 2.5 times the tasks that are missing.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -9,6 +9,9 @@
 
 // Factor on the expected need for VMs, since verdicts vary.
 constexpr double kAdviceSurplus = 1.3;
+// The same for gangs, whose VMs must all be free at the same time: other steps
+// take some of the capacity during the call.
+constexpr double kGangAdviceSurplus = 2.5;
 constexpr std::size_t kMinVmsPerAdviceCall = 4;
 constexpr std::size_t kMaxVmsPerAdviceCall = 100;
 // Number of VMs that an advice call for a gang usually names.
@@ -67,7 +70,7 @@
     return true;
   });
   SortLargestFirst(fits);
-  const double wanted = static_cast<double>(tasks) * kAdviceSurplus;
+  const double wanted = static_cast<double>(tasks) * kGangAdviceSurplus;
   double expected = 0;
   std::vector<std::string> vms;
   for (const auto& [slot, fit] : fits) {
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -327,10 +327,10 @@
     return true;
   }
 
-  // Reserves the VMs on which the gang can start soonest against later steps:
-  // those with the most free capacity, as many as fit the gang when empty.
-  // Without this a gang would starve, as smaller tasks take freed capacity
-  // first.
+  // Reserves capacity against later steps, which would otherwise take freed
+  // capacity first, so that the gang would starve: the room that it can use
+  // now, and for the members that do not fit yet the VMs with the most free
+  // capacity, as many as hold these members when empty.
   static void ReserveForGang(const StepPlacement& step, Pool& pool,
                              std::int64_t tasks) {
     std::vector<Slot*> usable;
@@ -354,9 +354,19 @@
                        return a->m_free.m_cpu_millis > b->m_free.m_cpu_millis;
                      });
     const Resources charge = step.Spec().Charge();
+    std::vector<Slot*> too_full;
     for (Slot* slot : usable) {
+      const std::int64_t fit = std::min(step.Fit(*slot), tasks);
+      if (fit > 0) {
+        pool.m_capacity.Reserve(*slot, charge * fit);
+        tasks -= fit;
+      } else {
+        too_full.push_back(slot);
+      }
+    }
+    for (Slot* slot : too_full) {
       if (tasks <= 0) {
-        break;
+        return;
       }
       tasks -= FitCount(charge, slot->m_vm->m_description.m_capacity);
       pool.m_capacity.ReserveAll(*slot);
