Ask about the VMs with the least free capacity that fits for independent tasks

Cause: a call to the advice service named the VMs with room from a different place in the pool for each job, so that small tasks were spread over the VMs with much free capacity, and gangs with tasks of a third of a VM found none.

Change: among at most 128 VMs with room the call names those with the least free capacity (best fit). Capacity of a pending call is reserved, so jobs still do not ask about the same room.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -14,6 +14,8 @@
 constexpr double kGangAdviceSurplus = 2.5;
 constexpr std::size_t kMinVmsPerAdviceCall = 4;
 constexpr std::size_t kMaxVmsPerAdviceCall = 100;
+// Limits the work of choosing the VMs of one call.
+constexpr std::size_t kMaxVmsConsidered = 128;
 // Number of VMs that an advice call for a gang usually names.
 constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
 
@@ -137,18 +139,27 @@
       add(slot, fit, 1.0);
     }
   });
+  std::vector<SlotFit> unknown;
   pool.VisitFitting(step.Spec().Charge(), FirstSlot(step, pool),
                     [&](Slot& slot) {
-                      if (enough()) {
-                        return false;
-                      }
                       const std::int64_t fit = step.Fit(slot);
                       if (fit > 0 && step.AdviceFor(slot) == nullptr &&
                           step.HasRequiredLabel(slot)) {
-                        add(slot, fit, good_share);
+                        unknown.push_back({&slot, fit});
                       }
-                      return true;
+                      return unknown.size() < kMaxVmsConsidered;
                     });
+  // Best fit leaves the VMs with much free capacity to gangs and large tasks.
+  std::stable_sort(
+      unknown.begin(), unknown.end(), [](const SlotFit& a, const SlotFit& b) {
+        return a.m_slot->m_free.m_cpu_millis < b.m_slot->m_free.m_cpu_millis;
+      });
+  for (const auto& [slot, fit] : unknown) {
+    if (enough()) {
+      break;
+    }
+    add(*slot, fit, good_share);
+  }
   return vms;
 }
 
