Schedule urgent jobs beyond a team's rate before late work of lower priority

Cause: jobs beyond their team's rate went after all others, also after jobs that had long missed their objective.

Change: jobs beyond the rate have no claim to be on time, so that they stand with the late jobs of their priority and after these. Jobs within the rate that can be on time still go before all of them.

--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -70,8 +70,8 @@
 
 // A step's place in the scheduling order (see ReadySteps).
 struct ReadyOrder {
-  bool m_over_rate = false;
   std::int64_t m_priority = 0;
+  bool m_over_rate = false;
   std::int64_t m_latest_start_unix_ms = 0;
 
   auto operator<=>(const ReadyOrder&) const = default;
@@ -142,7 +142,8 @@
   // Volatile: the newest durable phase, which callers may see; empty until the
   // job itself is durable.
   std::optional<JobPhase> m_visible_phase;
-  // Volatile: submitted beyond the team's rate; scheduled after all other jobs.
+  // Volatile: submitted beyond the team's rate; scheduled after all jobs that
+  // can still meet their objective.
   bool m_over_rate = false;
   // Volatile: VMs on which a run of the job failed.
   std::set<std::string> m_failed_on;
--- a/Source/Core/cell/ready_steps.cc
+++ b/Source/Core/cell/ready_steps.cc
@@ -63,7 +63,7 @@
     return;
   }
   state.m_ready_order = ReadyOrder{
-      job.m_over_rate, job.m_spec.m_queue.m_priority,
+      job.m_spec.m_queue.m_priority, job.m_over_rate,
       job.ObjectiveUnixMs(occurrence) - job.CriticalPathFromMs(step)};
   m_steps.insert(Entry{*state.m_ready_order, entry});
 }
--- a/Source/Core/cell/ready_steps.h
+++ b/Source/Core/cell/ready_steps.h
@@ -2,9 +2,11 @@
 // keeps it up to date as jobs change, so that a scheduling pass neither looks
 // up jobs nor sorts.
 //
-// Order: jobs within their team's rate, then steps that can still meet their
-// job's objective, then the queue's priority, then the latest start at which
-// the rest of the job meets the objective.
+// Order: first the steps that can still meet their job's objective, by the
+// queue's priority and then by the latest start at which the rest of the job
+// meets the objective. All others follow, by priority and then latest start.
+// Jobs beyond their team's rate have no claim to be on time: they are among the
+// others from the beginning, after the late jobs of the same priority.
 #pragma once
 
 #include <absl/container/btree_set.h>
@@ -47,13 +49,18 @@
   // false. `visit` must not change the set.
   template <typename Visitor>
   void Visit(std::int64_t now_unix_ms, Visitor visit) const {
-    for (const bool over_rate : {false, true}) {
-      for (const bool late : {false, true}) {
-        if (!VisitClass(over_rate, late, now_unix_ms, visit)) {
-          return;
-        }
-      }
+    const bool visited_all = VisitPriorities([&](std::int64_t priority) {
+      return VisitRange({priority, false, now_unix_ms}, {priority, true, kMin},
+                        visit);
+    });
+    if (!visited_all) {
+      return;
     }
+    VisitPriorities([&](std::int64_t priority) {
+      return VisitRange({priority, false, kMin}, {priority, false, now_unix_ms},
+                        visit) &&
+             VisitRange({priority, true, kMin}, {priority, true, kMax}, visit);
+    });
   }
 
  private:
@@ -68,39 +75,37 @@
   };
 
   // The first entry at or after this place in the order.
-  static Entry LowerBound(bool over_rate, std::int64_t priority,
-                          std::int64_t latest_start_unix_ms) {
-    return {{over_rate, priority, latest_start_unix_ms}, {}};
+  auto LowerBound(const ReadyOrder& order) const {
+    return m_steps.lower_bound(Entry{order, {}});
   }
 
-  // Visits the steps that are late, or those that are not, by priority. False
-  // if `visit` returned false.
+  // Calls `visit_priority(priority)` for each priority in use until it returns
+  // false. Returns false in that case.
   template <typename Visitor>
-  bool VisitClass(bool over_rate, bool late, std::int64_t now_unix_ms,
-                  Visitor& visit) const {
-    auto entry = m_steps.lower_bound(LowerBound(over_rate, kMin, kMin));
-    while (entry != m_steps.end() && entry->m_order.m_over_rate == over_rate) {
+  bool VisitPriorities(const Visitor& visit_priority) const {
+    auto entry = m_steps.begin();
+    while (entry != m_steps.end()) {
       const std::int64_t priority = entry->m_order.m_priority;
-      if (!late) {
-        entry =
-            m_steps.lower_bound(LowerBound(over_rate, priority, now_unix_ms));
-      }
-      for (;
-           entry != m_steps.end() && entry->m_order.m_over_rate == over_rate &&
-           entry->m_order.m_priority == priority;
-           ++entry) {
-        if (late && entry->m_order.m_latest_start_unix_ms >= now_unix_ms) {
-          break;
-        }
-        if (!visit(entry->m_step)) {
-          return false;
-        }
+      if (!visit_priority(priority)) {
+        return false;
       }
-      if (late && priority == kMax) {
+      if (priority == kMax) {
         return true;
       }
-      if (late) {
-        entry = m_steps.lower_bound(LowerBound(over_rate, priority + 1, kMin));
+      entry = LowerBound({priority + 1, false, kMin});
+    }
+    return true;
+  }
+
+  // Visits the entries from `begin` up to but not including `end`. Returns
+  // false if `visit` did.
+  template <typename Visitor>
+  bool VisitRange(const ReadyOrder& begin, const ReadyOrder& end,
+                  Visitor& visit) const {
+    for (auto entry = LowerBound(begin);
+         entry != m_steps.end() && entry->m_order < end; ++entry) {
+      if (!visit(entry->m_step)) {
+        return false;
       }
     }
     return true;
