Count a job beyond its team's rate as one priority lower

Change: such a job counts as one priority lower, after the others there, and can be on time. Jobs within the rate go first in each priority.

--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -142,8 +142,7 @@
   // Volatile: the newest durable phase, which callers may see; empty until the
   // job itself is durable.
   std::optional<JobPhase> m_visible_phase;
-  // Volatile: submitted beyond the team's rate; scheduled after all jobs that
-  // can still meet their objective.
+  // Volatile: submitted beyond the team's rate (see ReadySteps).
   bool m_over_rate = false;
   // Volatile: VMs on which a run of the job failed.
   std::set<std::string> m_failed_on;
--- a/Source/Core/cell/ready_steps.cc
+++ b/Source/Core/cell/ready_steps.cc
@@ -1,15 +1,25 @@
 // Membership and order of the ready steps.
 #include "cell/ready_steps.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace mustardslip {
 namespace {
 
+// Keeps sums with a priority in range.
+constexpr std::int64_t kLowestPriority = 1'000'000;
+
 bool HasTasksToStart(const StepState& step) {
   return step.m_done + step.m_open < step.m_tasks.size();
 }
 
+std::int64_t EffectivePriority(const Job& job) {
+  const std::int64_t priority =
+      std::min(job.m_spec.m_queue.m_priority, kLowestPriority);
+  return job.m_over_rate ? priority + 1 : priority;
+}
+
 }  // namespace
 
 bool ReadySteps::Entry::operator<(const Entry& other) const {
@@ -62,9 +72,10 @@
     state.m_ready_order.reset();
     return;
   }
-  state.m_ready_order = ReadyOrder{
-      job.m_spec.m_queue.m_priority, job.m_over_rate,
-      job.ObjectiveUnixMs(occurrence) - job.CriticalPathFromMs(step)};
+  const std::int64_t latest_start =
+      job.ObjectiveUnixMs(occurrence) - job.CriticalPathFromMs(step);
+  state.m_ready_order = ReadyOrder{EffectivePriority(job), job.m_over_rate,
+                                   std::min(latest_start, kMax - 1)};
   m_steps.insert(Entry{*state.m_ready_order, entry});
 }
 
--- a/Source/Core/cell/ready_steps.h
+++ b/Source/Core/cell/ready_steps.h
@@ -4,9 +4,8 @@
 //
 // Order: first the steps that can still meet their job's objective, by the
 // queue's priority and then by the latest start at which the rest of the job
-// meets the objective. All others follow, by priority and then latest start.
-// Jobs beyond their team's rate have no claim to be on time: they are among the
-// others from the beginning, after the late jobs of the same priority.
+// meets the objective. The late ones follow in the same order. A job beyond its
+// team's rate counts as one priority lower and goes after the others there.
 #pragma once
 
 #include <absl/container/btree_set.h>
@@ -50,7 +49,9 @@
   template <typename Visitor>
   void Visit(std::int64_t now_unix_ms, Visitor visit) const {
     const bool visited_all = VisitPriorities([&](std::int64_t priority) {
-      return VisitRange({priority, false, now_unix_ms}, {priority, true, kMin},
+      return VisitRange({priority, false, now_unix_ms}, {priority, false, kMax},
+                        visit) &&
+             VisitRange({priority, true, now_unix_ms}, {priority, true, kMax},
                         visit);
     });
     if (!visited_all) {
@@ -59,7 +60,8 @@
     VisitPriorities([&](std::int64_t priority) {
       return VisitRange({priority, false, kMin}, {priority, false, now_unix_ms},
                         visit) &&
-             VisitRange({priority, true, kMin}, {priority, true, kMax}, visit);
+             VisitRange({priority, true, kMin}, {priority, true, now_unix_ms},
+                        visit);
     });
   }
 
@@ -89,9 +91,6 @@
       if (!visit_priority(priority)) {
         return false;
       }
-      if (priority == kMax) {
-        return true;
-      }
       entry = LowerBound({priority + 1, false, kMin});
     }
     return true;
--- a/Source/Core/cell/team_rate.h
+++ b/Source/Core/cell/team_rate.h
@@ -1,5 +1,5 @@
-// Limits the rate of jobs per team. Jobs beyond the rate are not refused:
-// CellCore schedules them after all jobs that can be on time.
+// Limits the rate of jobs per team. Jobs beyond the rate are not refused, but
+// have a lower priority (see ReadySteps).
 #pragma once
 
 #include <algorithm>
