Send callers of an isolated daemon elsewhere at once

Cause: a daemon that was cut off from the store and the other daemons held each request for 45 % of its caller's time, and stayed ready for six seconds.

Change: a daemon without an owner that cannot reach the store, or that has had no owner for longer than a change of the owner takes, is isolated. It is not ready, ends requests at once as unknown (an earlier attempt may have reached an owner through another daemon), and closes the connection, so that the retry reaches another daemon.

--- a/Source/Core/cell/cell_entry.h
+++ b/Source/Core/cell/cell_entry.h
@@ -36,6 +36,7 @@
   void SetLocalOwner(LocalOwner owner) {
     m_local = std::move(owner);
     m_send = nullptr;
+    m_isolated = false;
     SendAll();
   }
 
@@ -43,6 +44,7 @@
   void SetOwnerLink(SendToOwner send) {
     m_send = std::move(send);
     m_local = nullptr;
+    m_isolated = false;
     SendAll();
   }
 
@@ -56,12 +58,26 @@
     }
   }
 
+  // While this daemon has no owner and does not expect one soon, requests end
+  // at once instead of waiting, and their callers are told to retry at another
+  // daemon. Ends when an owner is set.
+  void SetIsolated() {
+    if (Connected() || m_isolated) {
+      return;
+    }
+    m_isolated = true;
+    for (const std::uint64_t number : OpenNumbers()) {
+      Expire(number);
+    }
+  }
+
   bool Connected() const { return m_local != nullptr || m_send != nullptr; }
 
   // Calls `done` once, at most `wait_ms` from now. An unanswered request ends
   // as kUnknown: this or an earlier attempt may have been executed. Without an
   // owner it ends after kWaitForOwnerPercent of the time, less than half, so
-  // that the caller can retry before its own deadline.
+  // that the caller can retry before its own deadline; on an isolated daemon it
+  // ends at once.
   void Handle(CellRequest request, std::int64_t wait_ms, AnswerDone done) {
     const std::uint64_t number = ++m_last_number;
     m_open[number] = {std::move(request), std::move(done), false};
@@ -73,6 +89,10 @@
                  }));
     m_loop.After(std::max<std::int64_t>(1, wait_ms),
                  m_guard.Wrap([this, number] { Expire(number); }));
+    if (m_isolated) {
+      Expire(number);
+      return;
+    }
     Send(number);
   }
 
@@ -93,12 +113,16 @@
     bool m_sent = false;
   };
 
-  void SendAll() {
+  std::vector<std::uint64_t> OpenNumbers() const {
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, open] : m_open) {
       numbers.push_back(number);
     }
-    for (const std::uint64_t number : numbers) {
+    return numbers;
+  }
+
+  void SendAll() {
+    for (const std::uint64_t number : OpenNumbers()) {
       Send(number);
     }
   }
@@ -134,6 +158,7 @@
     answer.m_outcome = CellOutcome::kUnknown;
     answer.m_reason = Connected() ? "no_answer_in_time" : "no_owner";
     answer.m_retry_after_ms = kRetryAfterMs;
+    answer.m_retry_elsewhere = m_isolated;
     Log(LogLevel::kInfo, LogCategory::kCell, "request_given_up",
         {{"job", m_open.at(number).m_request.m_job},
          {"reason", answer.m_reason},
@@ -150,6 +175,7 @@
   SendToOwner m_send;
   // Incremented when an owner is lost, so that its late answers are dropped.
   std::uint64_t m_epoch = 0;
+  bool m_isolated = false;
   std::map<std::uint64_t, OpenRequest> m_open;
   std::uint64_t m_last_number = 0;
 };
--- /dev/null
+++ b/Source/Core/cell/cell_entry_test.cc
@@ -0,0 +1,80 @@
+// Tests of CellEntry: requests of callers while owners come, go and are out of
+// reach.
+#include "cell/cell_entry.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "cell/manual_loop.h"
+
+namespace mustardslip {
+namespace {
+
+constexpr std::int64_t kWaitMs = 3'000;
+
+class CellEntryTest : public testing::Test {
+ protected:
+  // Returns where the answer will be.
+  std::shared_ptr<std::optional<CellAnswer>> Send() {
+    auto answer = std::make_shared<std::optional<CellAnswer>>();
+    m_entry.Handle({}, kWaitMs,
+                   [answer](CellAnswer given) { *answer = given; });
+    return answer;
+  }
+
+  void Connect() {
+    m_entry.SetOwnerLink(
+        [this](const LinkMessage& message) { m_sent.push_back(message); });
+  }
+
+  ManualLoop m_loop;
+  CellEntry<ManualLoop> m_entry{m_loop};
+  std::vector<LinkMessage> m_sent;
+};
+
+// Fails if a daemon that is cut off holds requests until their callers have no
+// time left to ask another daemon.
+TEST_F(CellEntryTest, IsolatedDaemonSendsCallersElsewhereAtOnce) {
+  const auto waiting = Send();
+  EXPECT_FALSE(waiting->has_value());
+  m_entry.SetIsolated();
+  ASSERT_TRUE(waiting->has_value());
+  const auto later = Send();
+  ASSERT_TRUE(later->has_value());
+  for (const auto& answer : {*waiting, *later}) {
+    // An earlier attempt may have reached an owner through another daemon.
+    EXPECT_EQ(answer->m_outcome, CellOutcome::kUnknown);
+    EXPECT_TRUE(answer->m_retry_elsewhere);
+  }
+}
+
+// Fails if a change of the owner ends requests that the next owner can answer.
+TEST_F(CellEntryTest, RequestsOutlastAChangeOfTheOwner) {
+  Connect();
+  const auto answer = Send();
+  ASSERT_EQ(m_sent.size(), 1U);
+  m_entry.ClearOwner();
+  m_loop.Run(500);
+  EXPECT_FALSE(answer->has_value());
+  Connect();
+  ASSERT_EQ(m_sent.size(), 2U);
+  EXPECT_EQ(m_sent[0].m_number, m_sent[1].m_number);
+  m_entry.OnAnswer(m_sent[1].m_number, {CellOutcome::kAccepted});
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->m_outcome, CellOutcome::kAccepted);
+}
+
+// Fails if a daemon stays isolated after it has reached an owner again.
+TEST_F(CellEntryTest, AnOwnerEndsTheIsolation) {
+  m_entry.SetIsolated();
+  Connect();
+  const auto answer = Send();
+  EXPECT_FALSE(answer->has_value());
+  EXPECT_EQ(m_sent.size(), 1U);
+  m_entry.SetIsolated();  // Has no effect while an owner is connected.
+  EXPECT_FALSE(answer->has_value());
+}
+
+}  // namespace
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -85,13 +85,10 @@
   }
 
   // Readiness for new callers: configuration loaded, not draining, and
-  // connected to an owner now or within kReadyGraceMs.
+  // connected to an owner or expecting one soon.
   bool Ready() const {
-    const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
     return !m_draining && m_configuration != nullptr &&
-           (m_entry.Connected() ||
-            (m_last_connected_ms != 0 &&
-             now_ms - m_last_connected_ms < kReadyGraceMs));
+           (m_entry.Connected() || (m_last_connected_ms != 0 && !Isolated()));
   }
 
   std::shared_ptr<const ConfigurationView> Configuration() const {
@@ -113,8 +110,9 @@
   // A link that receives nothing for this long is closed.
   static constexpr std::int64_t kLinkTimeoutMs = 1'700;
   static constexpr std::int64_t kReconnectMs = 60;
-  // Keeps a daemon ready while the ownership changes.
-  static constexpr std::int64_t kReadyGraceMs = 6'000;
+  // A change of the owner takes less than this: the lease of the old one and
+  // the load of the log.
+  static constexpr std::int64_t kMaxOwnerChangeMs = 3'000;
   // A draining owner resigns after this long even if a write is unanswered.
   static constexpr std::int64_t kResignTimeoutMs = 1'000;
 
@@ -128,6 +126,16 @@
     bool m_welcome_sent = false;
   };
 
+  // True if no owner is connected and none is expected soon: this daemon cannot
+  // reach the store, which names the owner, or a change of the owner would be
+  // over by now.
+  bool Isolated() const {
+    const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
+    return !m_entry.Connected() && !m_owner &&
+           (m_configuration_feed.Failing() ||
+            now_ms - m_last_connected_ms > kMaxOwnerChangeMs);
+  }
+
   // --- Configuration ---
 
   typename PrefixFeed<Store, Reactor>::Handlers ConfigurationHandlers() {
@@ -447,6 +455,8 @@
     const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
     if (m_entry.Connected()) {
       m_last_connected_ms = now_ms;
+    } else if (m_last_connected_ms != 0 && Isolated()) {
+      m_entry.SetIsolated();
     }
     if (m_owner) {
       m_owner->OnLeaseRenewed(m_ownership.LastConfirmedRenewalMs());
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -75,6 +75,9 @@
   // For kRefused and kUnknown: a stable reason code and the retry delay.
   std::string m_reason;
   std::int64_t m_retry_after_ms = 0;
+  // For kUnknown: this daemon is isolated, another one may know. Set by the
+  // entry, and not part of messages between daemons.
+  bool m_retry_elsewhere = false;
 
   bool operator==(const CellAnswer&) const = default;
 };
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -387,7 +387,7 @@
     for (const auto& [name, value] : reply.m_headers) {
       evhttp_add_header(headers, name.c_str(), value.c_str());
     }
-    if (m_closing) {
+    if (m_closing && reply.m_headers.count("Connection") == 0) {
       evhttp_add_header(headers, "Connection", "close");
     }
     evbuffer* body = evbuffer_new();
