--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -455,9 +455,8 @@
     const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
     if (m_entry.Connected()) {
       m_last_connected_ms = now_ms;
-    } else if (m_last_connected_ms != 0 && Isolated()) {
-      m_entry.SetIsolated();
     }
+    CheckIsolation(now_ms);
     if (m_owner) {
       m_owner->OnLeaseRenewed(m_ownership.LastConfirmedRenewalMs());
     }
@@ -467,6 +466,24 @@
     RunAfter(kPingMs, [this] { Tick(); });
   }
 
+  // Ends the requests that wait for an owner once this daemon is isolated. A
+  // daemon that never had an owner is still starting.
+  void CheckIsolation(std::int64_t now_ms) {
+    const bool isolated = m_last_connected_ms != 0 && Isolated();
+    if (isolated) {
+      m_entry.SetIsolated();
+    }
+    if (isolated == m_isolated) {
+      return;
+    }
+    m_isolated = isolated;
+    Log(isolated ? LogLevel::kWarning : LogLevel::kInfo,
+        LogCategory::kMembership,
+        isolated ? "owner_unreachable" : "owner_regained",
+        {{"store_failing", m_configuration_feed.Failing()},
+         {"without_owner_ms", now_ms - m_last_connected_ms}});
+  }
+
   void CheckLinks(std::int64_t now_ms) {
     LinkMessage ping;
     ping.m_kind = LinkMessageKind::kPing;
@@ -557,6 +574,8 @@
   std::int64_t m_owner_ready_ms = 0;
   // Steady clock: when an owner was last reachable; 0 before the first time.
   std::int64_t m_last_connected_ms = 0;
+  // Result of the last CheckIsolation().
+  bool m_isolated = false;
   bool m_draining = false;
   bool m_resigned = false;
   std::int64_t m_drain_started_ms = 0;
