Sort gang fits with one function in the scheduler and the advice plan

Cause: the pass sorted the VMs of a gang by fit with its own copy of SortLargestFirst of the advice plan. Change: the function is declared beside SlotFit and called in both places; behaviour is the same.

The whole check was not run on this commit.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -19,12 +19,6 @@
 // Number of VMs that an advice call for a gang usually names.
 constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
 
-void SortLargestFirst(std::vector<SlotFit>& fits) {
-  std::stable_sort(
-      fits.begin(), fits.end(),
-      [](const SlotFit& a, const SlotFit& b) { return a.m_fit > b.m_fit; });
-}
-
 // A different start in the pool for each job, so that jobs do not all ask about
 // the same VMs.
 std::size_t FirstSlot(const StepPlacement& step, const PoolCapacity& pool) {
@@ -108,6 +102,12 @@
   return fits;
 }
 
+void SortLargestFirst(std::vector<SlotFit>& fits) {
+  std::stable_sort(
+      fits.begin(), fits.end(),
+      [](const SlotFit& a, const SlotFit& b) { return a.m_fit > b.m_fit; });
+}
+
 std::int64_t TotalFit(const std::vector<SlotFit>& fits) {
   std::int64_t total = 0;
   for (const SlotFit& one : fits) {
--- a/Source/Core/cell/advice_plan.h
+++ b/Source/Core/cell/advice_plan.h
@@ -25,6 +25,9 @@
 std::vector<SlotFit> RecommendedFits(const StepPlacement& step,
                                      PoolCapacity& pool);
 
+// Keeps the order of VMs with the same fit.
+void SortLargestFirst(std::vector<SlotFit>& fits);
+
 std::int64_t TotalFit(const std::vector<SlotFit>& fits);
 
 // Enough VMs with capacity to place `waiting` tasks, if `good_share` of those
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -310,9 +310,7 @@
     if (TotalFit(fits) < tasks) {
       return false;
     }
-    std::stable_sort(
-        fits.begin(), fits.end(),
-        [](const SlotFit& a, const SlotFit& b) { return a.m_fit > b.m_fit; });
+    SortLargestFirst(fits);
     if (step.Spec().m_same_rack || !step.Spec().m_rack_affinity.empty()) {
       PreferOneRack(step.Spec().m_rack_affinity, tasks, fits);
     }
