A run is not repeated while it may be on the VM's next incarnation

Cause: calls name a worker by its id alone, so the restarted worker took a start that was meant for its earlier life; its new clock made the start's deadline meaningless. OnVmListed then closed all runs of the earlier incarnation as lost as soon as the list showed a newer start time, and the task was planned again at once. The worker's record shows run 1 accepted after the restart and at work when run 2 begins; each run number was sent once, under one fence, so it is neither a second owner nor a repeated start.

Change: only the VM's own answer ends an incarnation. Reports carry the incarnation that answered. When a newer one has answered, runs that an earlier one listed are lost, the others are carried over to the newer one (two records of the existing kinds) and end by its lists, after a stop that keeps a late start out. Related paths with the same cause: a restart behind a cut from the store, a false entry under a live VM's id, a new owner, and acknowledgements that reached the next incarnation, which numbers its ends anew.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -41,6 +41,8 @@
   std::uint64_t m_refused = 0;
   std::uint64_t m_starts = 0;
   std::uint64_t m_not_begun = 0;
+  // Runs whose VM turned out to be a newer incarnation before it listed them.
+  std::uint64_t m_carried_over = 0;
   std::map<RunEnd, std::uint64_t> m_ends;
   std::uint64_t m_asks = 0;
   std::uint64_t m_passes = 0;
@@ -71,9 +73,14 @@
 
   // --- Reports of VMs and answers of the advice service ---
   void OnVmReport(const VmReport& report, const CellTime& now);
+  // A poll of `asked` was answered by another incarnation of the VM. What a VM
+  // says of itself overrides the VM list.
+  void OnOtherIncarnation(const VmIncarnation& asked, const VmReport& report,
+                          const CellTime& now);
   // A call to the VM failed or was not answered in time.
   void OnVmCallFailed(const VmIncarnation& vm, const CellTime& now);
   void OnStartAnswer(const StartAnswer& answer, const CellTime& now);
+  void OnStopAnswer(const StopAnswer& answer);
   void OnAdvice(const AdviceAnswer& answer, const CellTime& now);
 
   // --- Time ---
@@ -185,6 +192,10 @@
   void ProcessReportedRuns(VmState& vm, const VmReport& report);
   void CloseUnlistedRuns(VmState& vm, const VmReport& report,
                          const CellTime& now);
+  void EndEarlierIncarnations(const VmState& vm, const CellTime& now);
+  void CarryOver(const RunKey& key, const VmState& from, const VmState& to);
+  bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
+                                const CellTime& now);
   void MarkRunsLost(VmState& vm, const CellTime& now);
   void ExpireVmLeases(const CellTime& now);
   void ReleaseOccurrences(Job& job, const CellTime& now);
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -172,6 +172,7 @@
   vm->m_lease_until_vm_ms =
       std::max(vm->m_lease_until_vm_ms, start.m_deadline_vm_ms);
   run->m_listed_after_vm_ms = start.m_deadline_vm_ms;
+  run->m_start_sent_ms = now.m_steady_ms;
   ++m_counters.m_starts;
   m_effects.push_back(std::move(start));
 }
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -254,6 +254,119 @@
   EXPECT_EQ(m_cell.m_starts.back().m_run, 2U);
 }
 
+// Fails if the runs of an incarnation are closed as soon as a newer one is
+// listed: a start that was sent after the restart had reached the new one, and
+// the task ran a second time elsewhere beside it (TWICE, review/2).
+TEST_F(CellCoreTest, RunThatReachedTheNextIncarnationIsNotRepeated) {
+  AddVms(2);
+  m_cell.Restart("vm-0", 2);
+  m_cell.Restart("vm-1", 2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.List("vm-0");
+  m_cell.List("vm-1");
+  m_cell.Pump();
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  EXPECT_TRUE(m_cell.m_stops.empty());
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+}
+
+// Fails if the restart of a VM whose entry is away is taken for silence: its
+// poll was answered by the new incarnation, and after the lease of the old one
+// the run there was started a second time elsewhere.
+TEST_F(CellCoreTest, RestartOfAnUnlistedVmIsKnownFromItsOwnAnswer) {
+  AddVms(2);
+  m_cell.Restart("vm-0", 2);
+  m_cell.Restart("vm-1", 2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.AddVm("vm-2", kVmCapacity);
+  m_cell.Run(2 * kVmLeaseMs);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+}
+
+// Fails if a start that was not answered by an earlier incarnation may still
+// arrive at the next one after the task was started elsewhere.
+TEST_F(CellCoreTest, LateStartDoesNotBeginOnTheNextIncarnation) {
+  AddVms(1);
+  m_cell.Vm("vm-0").m_delays_starts = true;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  const std::vector<StartRun> late = m_cell.Vm("vm-0").m_late_starts;
+  ASSERT_EQ(late.size(), 1U);
+  m_cell.AddVm("vm-1", kVmCapacity);
+  m_cell.Restart("vm-0", 2).m_late_starts = late;
+  m_cell.List("vm-0");
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.DeliverLateStarts("vm-0");
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a new owner takes a run for lost because the VM on which it was
+// planned has restarted since: the start may have reached the new incarnation.
+TEST_F(CellCoreTest, NewOwnerFindsTheRunOnTheNextIncarnation) {
+  AddVms(2);
+  m_cell.Restart("vm-0", 2);
+  m_cell.Restart("vm-1", 2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  m_cell.TakeOver();
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  TakeOverFromSnapshot();
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+}
+
+// Fails if a run is started elsewhere while it may be on a newer incarnation
+// that is listed and cannot be reached.
+TEST_F(CellCoreTest, RunOnAnUnreachableNewIncarnationIsNotRepeated) {
+  AddVms(1);
+  m_cell.Restart("vm-0", 2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.List("vm-0");
+  m_cell.AddVm("vm-1", kVmCapacity);
+  m_cell.Run(CellBounds{}.m_max_lease_ms);
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(CellBounds{}.m_max_lease_ms);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if another writer's entry under the id of a live VM ends the runs of
+// that VM: what a VM says of itself goes before the list.
+TEST_F(CellCoreTest, FalseEntryDoesNotEndTheRunsOfALiveVm) {
+  AddVms(2);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, 60'000)}));
+  m_cell.Run(200);
+  ASSERT_EQ(m_cell.RunningOf(1), 2U);
+  m_cell.AddVm("vm-2", kVmCapacity);
+  VmDescription entry = m_cell.Vm("vm-0").m_description;
+  entry.m_incarnation.m_born = 99;
+  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  m_cell.Run(kVmLeaseMs + 1'000);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+  m_cell.List("vm-0");
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(3, 60'000)}));
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.RunningOf(2), 3U);
+}
+
 // Fails if a task gets more attempts than its queue allows.
 TEST_F(CellCoreTest, JobFailsAfterMaxAttempts) {
   AddVms(4);
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -20,6 +20,11 @@
 constexpr std::int64_t kAvoidUnhealthyMs = 400;
 // Time between the computed end of a lease and the end of the VM's runs.
 constexpr std::int64_t kLeaseExpirySlackMs = 300;
+// A call without an answer may be executed this much later.
+constexpr std::int64_t kLateCallMs = 5'000;
+// Extra real time that a lease may last because a VM's clock is slow, as a
+// divisor of its length: 2 %.
+constexpr std::int64_t kSlowClockDivisor = 50;
 // Subtracted from a ticket's validity, which begins at its issue and not when
 // the answer arrives.
 constexpr std::int64_t kTicketTransitMs = 50;
@@ -40,18 +45,19 @@
 
 }  // namespace
 
-void CellCore::OnVmListed(const VmDescription& description,
-                          const CellTime& now) {
+void CellCore::OnVmListed(const VmDescription& description, const CellTime&) {
   VmState& vm = m_state.FindOrCreateVm(description.m_incarnation);
   vm.m_description = description;
-  vm.m_listed = true;
-  // A newer incarnation of the VM means that all runs of earlier ones ended.
+  // The list names one incarnation of a VM. Runs of others end only when the
+  // new one reports: the entry may be another writer's, and a start may have
+  // reached the new incarnation before it was listed.
+  bool superseded = false;
   for (VmState* life : m_state.IncarnationsOf(description.m_incarnation.m_id)) {
-    if (life->Incarnation().m_born < description.m_incarnation.m_born) {
-      life->m_listed = false;
-      MarkRunsLost(*life, now);
-    }
+    life->m_listed = false;
+    superseded = superseded || (life->m_fenced && life->Incarnation().m_born >
+                                                      vm.Incarnation().m_born);
   }
+  vm.m_listed = !superseded;
   m_dirty = true;
 }
 
@@ -82,10 +88,17 @@
     m_dirty = true;
   }
   if (!vm->m_fenced) {
+    EndEarlierIncarnations(*vm, now);
     // An earlier owner may have extended the lease until now. From here on the
-    // VM refuses its calls.
+    // VM refuses its calls. Orders to an earlier incarnation, whose clock shows
+    // more, have given this one the longest lease.
+    const bool first_of_its_id =
+        m_state.IncarnationsOf(report.m_vm.m_id).front() == vm;
+    const std::int64_t longest =
+        first_of_its_id ? kVmLeaseMs
+                        : std::max(kVmLeaseMs, m_bounds.m_max_lease_ms);
     vm->m_lease_until_vm_ms =
-        std::max(vm->m_lease_until_vm_ms, report.m_vm_ms + kVmLeaseMs);
+        std::max(vm->m_lease_until_vm_ms, report.m_vm_ms + longest);
   }
   vm->m_fenced = true;
   vm->m_poll_due_ms = 0;
@@ -97,6 +110,61 @@
   HandleVmPace(*vm, now);
 }
 
+void CellCore::OnOtherIncarnation(const VmIncarnation& asked,
+                                  const VmReport& report, const CellTime& now) {
+  OnVmCallFailed(asked, now);
+  if (report.m_vm.m_born > asked.m_born) {
+    // Unlisted, and so without starts, until its own entry gives its capacity.
+    VmState& vm = m_state.FindOrCreateVm(report.m_vm);
+    const VmState* earlier = m_state.FindVm(asked);
+    if (vm.m_description.m_address.empty() && earlier != nullptr) {
+      vm.m_description.m_address = earlier->m_description.m_address;
+    }
+  }
+  // An older one than asked: the asked one is not there, whatever the list
+  // says.
+  OnVmReport(report, now);
+}
+
+// The VM answered as this incarnation, so the earlier ones are gone. Runs that
+// they listed are lost. Other runs may be on this one: calls name a VM by its
+// id alone.
+void CellCore::EndEarlierIncarnations(const VmState& vm, const CellTime& now) {
+  for (VmState* life : m_state.IncarnationsOf(vm.Incarnation().m_id)) {
+    if (life->Incarnation().m_born >= vm.Incarnation().m_born) {
+      continue;
+    }
+    life->m_listed = false;
+    for (const RunKey& key : life->OpenRuns()) {
+      const OpenRun* run = m_state.FindRun(key.first, key.second);
+      if (run == nullptr || run->m_awaiting_log || run->Listed()) {
+        CloseRun(key.first, key.second, life->Incarnation(), RunEnd::kLost, "",
+                 0, now);
+      } else {
+        CarryOver(key, *life, vm);
+      }
+    }
+  }
+}
+
+// Charges the run to `to`. The first record keeps the job active while the
+// second one closes the run on `from`.
+void CellCore::CarryOver(const RunKey& key, const VmState& from,
+                         const VmState& to) {
+  const auto& [task, number] = key;
+  const OpenRun before = *m_state.FindRun(task, number);
+  Append(RunPlanned{task, number, to.Incarnation()});
+  Append(RunEnded{task, number, RunEnd::kNotStarted, "", from.Incarnation(), 0,
+                  0});
+  OpenRun& run = *m_state.FindRun(task, number);
+  run.m_carried_over = true;
+  run.m_start_sent_ms = before.m_start_sent_ms;
+  // The fence of this owner already keeps out the starts of earlier ones.
+  run.m_listed_after_vm_ms =
+      before.m_start_sent_ms == 0 ? 0 : OpenRun::kUnknownVmTime;
+  ++m_counters.m_carried_over;
+}
+
 void CellCore::ProcessReportedEnds(VmState& vm, const VmReport& report,
                                    const CellTime& now) {
   for (const ReportedEnd& end : report.m_ended) {
@@ -229,14 +297,23 @@
     if ((run != nullptr && run->m_awaiting_log) || listed.count(key) != 0) {
       continue;
     }
-    if (run == nullptr || report.m_vm_ms > run->m_listed_after_vm_ms) {
+    if (run == nullptr ||
+        run->m_listed_after_vm_ms == OpenRun::kUnknownVmTime ||
+        report.m_vm_ms > run->m_listed_after_vm_ms) {
       missing.push_back(key);
     }
   }
-  for (const RunKey& key : missing) {
-    ++m_counters.m_not_begun;
-    CloseRun(key.first, key.second, vm.Incarnation(), RunEnd::kNotStarted, "",
-             0, now);
+  for (const auto& [task, number] : missing) {
+    OpenRun* run = m_state.FindRun(task, number);
+    if (run != nullptr &&
+        run->m_listed_after_vm_ms == OpenRun::kUnknownVmTime) {
+      SendStop(task, *run, StopReason::kEarlierIncarnation, now);
+      continue;
+    }
+    const bool lost = run != nullptr && run->m_carried_over;
+    m_counters.m_not_begun += lost ? 0 : 1;
+    CloseRun(task, number, vm.Incarnation(),
+             lost ? RunEnd::kLost : RunEnd::kNotStarted, "", 0, now);
   }
 }
 
@@ -274,7 +351,8 @@
     } else {
       // The latest possible end of a lease granted by an earlier owner.
       const std::int64_t longest = kRenewWithoutStoreMs + kVmLeaseMs +
-                                   kVmLeaseMs / 50 + kLeaseExpirySlackMs;
+                                   kVmLeaseMs / kSlowClockDivisor +
+                                   kLeaseExpirySlackMs;
       expired = now.m_steady_ms - m_recovered_ms > longest;
     }
     if (expired) {
@@ -286,8 +364,24 @@
   }
 }
 
+// True if the run's start may have reached a newer incarnation, which has not
+// answered yet, and the longest lease there has not expired.
+bool CellCore::MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
+                                        const CellTime& now) {
+  const std::int64_t sent_ms = std::max(run.m_start_sent_ms, m_recovered_ms);
+  const std::int64_t longest = kLateCallMs + m_bounds.m_max_lease_ms +
+                               m_bounds.m_max_lease_ms / kSlowClockDivisor +
+                               kLeaseExpirySlackMs;
+  return !run.Listed() && now.m_steady_ms - sent_ms < longest &&
+         m_state.HasNewerIncarnation(vm.Incarnation());
+}
+
 void CellCore::MarkRunsLost(VmState& vm, const CellTime& now) {
   for (const RunKey& key : vm.OpenRuns()) {
+    const OpenRun* run = m_state.FindRun(key.first, key.second);
+    if (run != nullptr && MayRunOnNewerIncarnation(vm, *run, now)) {
+      continue;
+    }
     CloseRun(key.first, key.second, vm.Incarnation(), RunEnd::kLost, "", 0,
              now);
   }
@@ -295,7 +389,8 @@
 
 void CellCore::OnStartAnswer(const StartAnswer& answer, const CellTime& now) {
   OpenRun* run = m_state.FindRun(answer.m_task, answer.m_run);
-  if (run == nullptr || run->m_vm != answer.m_vm) {
+  // The run may have been carried over to a newer incarnation meanwhile.
+  if (run == nullptr || run->m_vm.m_id != answer.m_vm.m_id) {
     return;
   }
   VmState* vm = m_state.FindVm(answer.m_vm);
@@ -304,11 +399,11 @@
   }
   switch (answer.m_outcome) {
     case StartOutcome::kStarted:
-      if (run->m_phase == RunPhase::kPlanned) {
+      if (run->m_phase == RunPhase::kPlanned && run->m_vm == answer.m_vm) {
         run->m_phase = RunPhase::kRunning;
         run->m_listed_after_vm_ms = answer.m_vm_ms;
-        m_state.FindJob(answer.m_task.m_job)->m_confirmed = true;
       }
+      m_state.FindJob(answer.m_task.m_job)->m_confirmed = true;
       return;
     case StartOutcome::kUnknown:
     case StartOutcome::kSuperseded:
@@ -328,10 +423,18 @@
       break;
   }
   ++m_counters.m_not_begun;
-  CloseRun(answer.m_task, answer.m_run, answer.m_vm, RunEnd::kNotStarted, "", 0,
+  CloseRun(answer.m_task, answer.m_run, run->m_vm, RunEnd::kNotStarted, "", 0,
            now);
 }
 
+void CellCore::OnStopAnswer(const StopAnswer& answer) {
+  OpenRun* run = m_state.FindRun(answer.m_task, answer.m_run);
+  if (run != nullptr && run->m_vm == answer.m_vm &&
+      run->m_listed_after_vm_ms == OpenRun::kUnknownVmTime) {
+    run->m_listed_after_vm_ms = answer.m_vm_ms;
+  }
+}
+
 void CellCore::UpdateVmHealth(VmState& vm, Job& job, RunEnd end,
                               const CellTime& now) {
   if (end == RunEnd::kDone) {
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -33,6 +33,11 @@
   bool m_reachable = true;
   // If false, starts are executed but not answered.
   bool m_answers_starts = true;
+  // If true, starts are kept in m_late_starts, neither executed nor answered.
+  bool m_delays_starts = false;
+  std::vector<StartRun> m_late_starts;
+  // Stopped runs; a start that arrives after the stop is rejected.
+  std::set<RunKey> m_stopped;
 };
 
 class CellHarness {
@@ -74,6 +79,31 @@
 
   SimulatedVm& Vm(const std::string& id) { return m_vms.at(id); }
 
+  // The VM restarts at the same address under its id, with a clock that begins
+  // at 0. The VM list does not name the new incarnation yet.
+  SimulatedVm& Restart(const std::string& id, std::int64_t born) {
+    SimulatedVm& vm = m_vms.at(id);
+    const VmDescription description = vm.m_description;
+    vm = {};
+    vm.m_description = description;
+    vm.m_description.m_incarnation.m_born = born;
+    vm.m_clock_offset_ms = -m_now_ms;
+    return vm;
+  }
+
+  // The VM list names the VM as it is now.
+  void List(const std::string& id) {
+    m_core->OnVmListed(m_vms.at(id).m_description, Now());
+  }
+
+  // Starts that were delayed arrive, whatever incarnation they were meant for.
+  void DeliverLateStarts(const std::string& id) {
+    SimulatedVm& vm = m_vms.at(id);
+    for (const StartRun& start : std::exchange(vm.m_late_starts, {})) {
+      Arrive(vm, start);
+    }
+  }
+
   static StepSpec Step(std::uint32_t count, std::int64_t cpu) {
     StepSpec step;
     step.m_count = count;
@@ -168,20 +198,29 @@
     }
   }
 
+  // Polls the VM once for each of its incarnations that the owner polls.
   void Look(SimulatedVm& vm) {
-    VmState* state = m_core->State().FindVm(vm.m_description.m_incarnation);
-    if (state == nullptr) {
-      return;
+    const VmIncarnation actual = vm.m_description.m_incarnation;
+    std::vector<VmIncarnation> polled;
+    for (const VmState* state : m_core->State().IncarnationsOf(actual.m_id)) {
+      if (state->m_listed || !state->m_open.empty()) {
+        polled.push_back(state->Incarnation());
+      }
     }
-    if (!vm.m_reachable) {
-      m_core->OnVmCallFailed(vm.m_description.m_incarnation, Now());
-      return;
+    for (const VmIncarnation& asked : polled) {
+      VmState* state = m_core->State().FindVm(asked);
+      if (!vm.m_reachable) {
+        m_core->OnVmCallFailed(asked, Now());
+      } else if (asked != actual) {
+        m_core->OnOtherIncarnation(asked, Report(vm), Now());
+      } else {
+        m_core->NextLease(*state, Now());
+        std::erase_if(vm.m_ended, [&](const ReportedEnd& end) {
+          return end.m_sequence <= state->m_durable_end;
+        });
+        m_core->OnVmReport(Report(vm), Now());
+      }
     }
-    m_core->NextLease(*state, Now());
-    std::erase_if(vm.m_ended, [&](const ReportedEnd& end) {
-      return end.m_sequence <= state->m_durable_end;
-    });
-    m_core->OnVmReport(Report(vm), Now());
   }
 
   VmReport Report(const SimulatedVm& vm) const {
@@ -293,10 +332,14 @@
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
     SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
+    if (vm.m_delays_starts) {
+      vm.m_late_starts.push_back(start);
+      return;
+    }
     if (!vm.m_reachable) {
       return;
     }
-    vm.m_running.push_back({start.m_task, start.m_run});
+    Arrive(vm, start);
     if (vm.m_answers_starts) {
       m_core->OnStartAnswer(
           {start.m_task, start.m_run, start.m_vm, StartOutcome::kStarted,
@@ -305,15 +348,27 @@
     }
   }
 
+  static void Arrive(SimulatedVm& vm, const StartRun& start) {
+    if (vm.m_stopped.count({start.m_task, start.m_run}) == 0) {
+      vm.m_running.push_back({start.m_task, start.m_run});
+    }
+  }
+
   void Execute(const StopRun& stop) {
     m_stops.push_back(stop);
     SimulatedVm& vm = m_vms.at(stop.m_vm.m_id);
     const SimulatedVm::Running run{stop.m_task, stop.m_run};
     const bool runs = std::find(vm.m_running.begin(), vm.m_running.end(),
                                 run) != vm.m_running.end();
-    if (vm.m_reachable && runs) {
+    if (!vm.m_reachable) {
+      return;
+    }
+    vm.m_stopped.insert({stop.m_task, stop.m_run});
+    if (runs) {
       EndRun(vm, run, RunEnd::kStopped);
     }
+    m_core->OnStopAnswer(
+        {stop.m_task, stop.m_run, stop.m_vm, m_now_ms + vm.m_clock_offset_ms});
   }
 
   void Execute(const AdviceRequest& ask) {
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -343,17 +343,16 @@
   }
 
   void Execute(StopRun& stop) {
-    if (stop.m_reason == StopReason::kMove) {
-      Log(LogLevel::kInfo, LogCategory::kCell, "run_moves_away",
-          {{"job", stop.m_task.m_job},
-           {"task", ToString(stop.m_task)},
-           {"run", stop.m_run},
-           {"vm", stop.m_vm.m_id}});
-    }
-    m_vms.Stop(stop, m_owner.m_revision, [](const Result<void>&) {
-      // The answer is ignored: the VM reports the end of the run, and until
-      // then the stop is repeated.
-    });
+    LogStop(stop);
+    m_vms.Stop(
+        stop, m_owner.m_revision,
+        m_guard.Wrap([this, stop](const Result<std::int64_t>& vm_ms) {
+          // A failed stop is repeated until the VM reports the run's
+          // end.
+          if (vm_ms) {
+            m_core.OnStopAnswer({stop.m_task, stop.m_run, stop.m_vm, *vm_ms});
+          }
+        }));
   }
 
   void Execute(AdviceRequest& ask) {
--- a/Source/Core/cell/cell_platform.h
+++ b/Source/Core/cell/cell_platform.h
@@ -19,7 +19,7 @@
   VmIncarnation m_vm;
   std::string m_address;
   std::int64_t m_fence = 0;
-  // The VM may discard run ends up to this sequence number.
+  // The VM may discard run ends up to this sequence number. 0 discards none.
   std::uint64_t m_last_end = 0;
   // On the VM's clock; nullopt leaves the lease as it is.
   std::optional<std::int64_t> m_lease_until_vm_ms;
@@ -29,11 +29,14 @@
 
 using PollDone = std::function<void(Result<VmReport>)>;
 using StartDone = std::function<void(StartAnswer)>;
-using StopDone = std::function<void(Result<void>)>;
+// Passes the time of the answer on the VM's clock, in milliseconds.
+using StopDone = std::function<void(Result<std::int64_t>)>;
 using AdviceDone = std::function<void(AdviceAnswer)>;
 
 // Errors of Hold and Stop: kStaleEpoch if the VM has seen a higher fence,
-// kNotFound if another incarnation answered, otherwise transport errors.
+// kNotFound if another VM answered, otherwise transport errors. A call names
+// the VM by its id alone, so a later incarnation under the same id executes it
+// too: the report of Hold carries the incarnation that answered.
 // Implementations never resend a call.
 template <typename V>
 concept VmControl = requires(V vms, const PollRequest& hold,
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -53,11 +53,15 @@
 }
 
 VmState* CellState::FindListedVm(const std::string& id) {
-  VmState* newest = nullptr;
+  VmState* listed = nullptr;
   for (VmState* life : IncarnationsOf(id)) {
-    newest = life->m_listed ? life : newest;
+    listed = life->m_listed ? life : listed;
   }
-  return newest;
+  return listed;
+}
+
+bool CellState::HasNewerIncarnation(const VmIncarnation& life) {
+  return IncarnationsOf(life.m_id).back()->Incarnation().m_born > life.m_born;
 }
 
 Resources CellState::TeamUsage(const std::string& team) const {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -39,8 +39,10 @@
   VmState* FindVm(const VmIncarnation& life);
   // All known incarnations of the VM, the oldest first.
   std::vector<VmState*> IncarnationsOf(const std::string& id);
-  // The newest listed incarnation of the VM, or null.
+  // The listed incarnation of the VM, or null.
   VmState* FindListedVm(const std::string& id);
+  // True if an incarnation of the VM is known that began after `life`.
+  bool HasNewerIncarnation(const VmIncarnation& life);
 
   // Resources of all open runs of the team, including runs that may have ended
   // or may not have started.
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -101,6 +101,9 @@
   kGangBroken,  // Another member ended without success or is being moved.
   kUnknownRun,  // The VM lists a run that the cell does not know.
   kMove,        // The VM is slow or stalled and another has capacity.
+  // The run was planned on an earlier incarnation of the VM, and its start may
+  // still arrive.
+  kEarlierIncarnation,
 };
 
 struct StopRun {
@@ -111,6 +114,16 @@
   StopReason m_reason = StopReason::kJobEnded;
 };
 
+// A VM answered an order to stop a run: the run ends soon or, if it was not
+// there, will never start on this VM.
+struct StopAnswer {
+  TaskRef m_task;
+  std::uint32_t m_run = 0;
+  VmIncarnation m_vm;
+  // Time of the answer on the VM's clock.
+  std::int64_t m_vm_ms = 0;
+};
+
 // Identifies a step of one occurrence of a job.
 struct StepRef {
   std::string m_job;
@@ -163,6 +176,7 @@
 
 // A VM's list of its runs, taken at `m_vm_ms` on the VM's clock.
 struct VmReport {
+  // The incarnation that answered.
   VmIncarnation m_vm;
   std::int64_t m_vm_ms = 0;
   std::vector<ReportedRun> m_running;
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -86,6 +86,28 @@
        {"valid_ms", answer.m_validity_ms}});
 }
 
+void LogStop(const StopRun& stop) {
+  std::string_view event;
+  switch (stop.m_reason) {
+    case StopReason::kMove:
+      event = "run_moves_away";
+      break;
+    case StopReason::kEarlierIncarnation:
+      event = "late_start_blocked";
+      break;
+    case StopReason::kJobEnded:
+    case StopReason::kGangBroken:
+    case StopReason::kUnknownRun:
+      return;
+  }
+  Log(LogLevel::kInfo, LogCategory::kCell, event,
+      {{"job", stop.m_task.m_job},
+       {"task", ToString(stop.m_task)},
+       {"run", stop.m_run},
+       {"vm", stop.m_vm.m_id},
+       {"born", stop.m_vm.m_born}});
+}
+
 void LogStartAnswer(const StartAnswer& answer) {
   if (answer.m_outcome == StartOutcome::kStarted) {
     return;
--- a/Source/Core/cell/decision_log.h
+++ b/Source/Core/cell/decision_log.h
@@ -15,6 +15,8 @@
 void LogDecisions(const std::vector<LogRecord>& records);
 // Logs an answer of the advice service.
 void LogAdvice(const AdviceAnswer& answer);
+// Logs a stop whose reason no log record shows; nothing for other stops.
+void LogStop(const StopRun& stop);
 // Logs a start that was refused or not answered; nothing for other starts.
 void LogStartAnswer(const StartAnswer& answer);
 
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -35,6 +35,13 @@
   // it is planned, the time of the confirmation after that. 0: planned by an
   // earlier owner, whose starts are blocked by the fence of this one.
   std::int64_t m_listed_after_vm_ms = 0;
+  // Volatile: planned on an earlier incarnation of m_vm, which may have ended
+  // before the start arrived. The start may still arrive at m_vm: until a stop
+  // of the run has been answered, m_listed_after_vm_ms is kUnknownVmTime.
+  bool m_carried_over = false;
+  // Volatile: owner's steady clock when the start was sent; 0 if this owner did
+  // not send it.
+  std::int64_t m_start_sent_ms = 0;
   // Volatile: when a stop was last sent; 0 for never.
   std::int64_t m_stop_sent_ms = 0;
   // Volatile: planned by this owner; its record is not durable and the start
@@ -42,6 +49,12 @@
   bool m_awaiting_log = false;
   // Volatile.
   RunProgress m_progress;
+
+  // Later than any time on a VM's clock.
+  static constexpr std::int64_t kUnknownVmTime = INT64_MAX;
+
+  // True if the VM listed the run to this owner: the start was executed there.
+  bool Listed() const { return m_progress.Reported(); }
 };
 
 struct TaskState {
--- a/Source/Core/cell/vm_poller.h
+++ b/Source/Core/cell/vm_poller.h
@@ -104,8 +104,8 @@
     std::int64_t m_sent_ms = 0;
     std::int64_t m_wait_ms = 0;
     std::uint64_t m_number = 0;
-    // The highest end that was acknowledged to the VM.
-    std::uint64_t m_acknowledged_end = 0;
+    // The run ends that the open call acknowledges.
+    std::uint64_t m_last_end = 0;
 
     bool IsLate(std::int64_t now_ms) const {
       return m_open && !m_is_retry &&
@@ -120,7 +120,7 @@
     if (!late && (call.m_open || !MaySend(call, vm, now))) {
       return true;
     }
-    const PollKind kind = NextPollKind(call, vm, late || !renew);
+    const PollKind kind = NextPollKind(vm, late || !renew);
     // A retry after a late answer reuses the slot of the first poll.
     if (!late && LimitReached(kind)) {
       return false;
@@ -129,7 +129,7 @@
     order.m_vm = vm.Incarnation();
     order.m_address = vm.m_description.m_address;
     order.m_fence = m_fence;
-    order.m_last_end = vm.m_durable_end;
+    order.m_last_end = EndsToAcknowledge(vm);
     if (renew) {
       order.m_lease_until_vm_ms = m_core.NextLease(vm, now);
     }
@@ -143,7 +143,7 @@
     call.m_is_retry = late;
     call.m_sent_ms = now.m_steady_ms;
     call.m_wait_ms = order.m_wait_ms;
-    call.m_acknowledged_end = order.m_last_end;
+    call.m_last_end = order.m_last_end;
     const std::uint64_t number = ++call.m_number;
     m_vms.Hold(order, m_guard.Wrap([this, life = order.m_vm,
                                     number](Result<VmReport> report) {
@@ -152,12 +152,12 @@
     return true;
   }
 
-  PollKind NextPollKind(const Call& call, const VmState& vm, bool at_once) {
+  PollKind NextPollKind(const VmState& vm, bool at_once) {
     if (vm.m_first_failed_call_ms != 0) {
       return PollKind::kAfterFailure;
     }
     const bool long_poll = vm.m_fenced && vm.m_clock.Known() && !at_once &&
-                           !Idle(call, vm) &&
+                           !Idle(vm) &&
                            m_open_polls[PollKind::kLong] < m_max_long_polls;
     return long_poll ? PollKind::kLong : PollKind::kShort;
   }
@@ -176,13 +176,21 @@
   }
 
   // Nothing runs on the VM, and all its ends were acknowledged.
-  static bool Idle(const Call& call, const VmState& vm) {
+  static bool Idle(const VmState& vm) {
     return vm.m_fenced && vm.m_open.empty() &&
-           call.m_acknowledged_end == vm.m_last_end;
+           vm.m_acknowledged_end == vm.m_last_end;
+  }
+
+  // The sequence number up to which the next poll lets the VM discard ends.
+  // Numbers begin anew in each incarnation, and the poll may reach a later one:
+  // none are acknowledged before the VM has answered this owner, nor twice.
+  static std::uint64_t EndsToAcknowledge(const VmState& vm) {
+    const bool pending = vm.m_acknowledged_end < vm.m_durable_end;
+    return vm.m_fenced && pending ? vm.m_durable_end : 0;
   }
 
   bool MaySend(const Call& call, const VmState& vm, const CellTime& now) const {
-    if (Idle(call, vm) && vm.m_first_failed_call_ms == 0 &&
+    if (Idle(vm) && vm.m_first_failed_call_ms == 0 &&
         now.m_steady_ms < call.m_sent_ms + m_idle_gap_ms) {
       return false;
     }
@@ -207,7 +215,15 @@
     --m_open_polls[call.m_kind];
     const CellTime now = m_loop.Now();
     VmState* vm = m_core.State().FindVm(life);
-    if (report) {
+    if (report && report->m_vm != life) {
+      call.m_next_ms = now.m_steady_ms + kGapAfterFailureMs;
+      Log(LogLevel::kWarning, LogCategory::kCell, "vm_other_incarnation",
+          {{"vm", life.m_id},
+           {"born", report->m_vm.m_born},
+           {"asked_born", life.m_born},
+           {"open_runs", vm == nullptr ? 0 : vm->m_open.size()}});
+      m_core.OnOtherIncarnation(life, *report, now);
+    } else if (report) {
       // The first poll cannot renew the lease as the VM's clock is unknown: the
       // next one is sent at once.
       const bool first = vm != nullptr && !vm->m_clock.Known();
@@ -217,6 +233,10 @@
             {{"vm", life.m_id},
              {"silent_ms", now.m_steady_ms - vm->m_first_failed_call_ms}});
       }
+      if (vm != nullptr) {
+        vm->m_acknowledged_end =
+            std::max(vm->m_acknowledged_end, call.m_last_end);
+      }
       const VmPace pace = vm == nullptr ? VmPace::kNormal : vm->m_pace;
       m_core.OnVmReport(*report, now);
       if (vm != nullptr && vm->m_pace != pace) {
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -244,6 +244,49 @@
   EXPECT_GE(m_vms.m_calls.size() - before, static_cast<std::size_t>(kVms));
 }
 
+// Fails if ends are acknowledged to a VM that has not answered this owner, or a
+// second time: a poll may reach a later incarnation, which numbers its ends
+// anew, and an end there would be discarded unseen.
+TEST_F(VmPollerTest, EndsAreAcknowledgedOnceAndOnlyToAVmThatAnswered) {
+  VmState* vm = m_core.State().FindListedVm("vm-0");
+  vm->m_last_end = vm->m_durable_end = 57;
+  Run(10);
+  ASSERT_EQ(m_vms.m_calls.size(), 1U);
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_last_end, 0U);
+  Answer(0);
+  Run(10);
+  ASSERT_EQ(m_vms.m_calls.size(), 2U);
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_last_end, 57U);
+  m_vms.m_calls.back().m_done(Fail(ErrorCode::kUnknownOutcome, "no_answer"));
+  Run(300);
+  ASSERT_EQ(m_vms.m_calls.size(), 3U);
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_last_end, 57U);
+  Answer(2);
+  Run(1'600);
+  ASSERT_EQ(m_vms.m_calls.size(), 4U);
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_last_end, 0U);
+}
+
+// Fails if a poll that another incarnation answered counts for the one that was
+// asked, or the one that answered is not polled from then on.
+TEST_F(VmPollerTest, AnswerOfAnotherIncarnationIsItsOwn) {
+  AnswerFirstPoll();
+  Run(200);
+  StartOneRun();
+  Run(20);
+  VmReport report;
+  report.m_vm = {"vm-0", 2};
+  report.m_vm_ms = 10;
+  report.m_running = {{m_task, 1, "", 5}};
+  m_vms.m_calls.back().m_done(report);
+  const std::size_t before = m_vms.m_calls.size();
+  Run(200);
+  ASSERT_GT(m_vms.m_calls.size(), before);
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_vm, (VmIncarnation{"vm-0", 2}));
+  EXPECT_EQ(m_vms.m_calls.back().m_order.m_address, "127.0.0.1:1");
+  EXPECT_EQ(m_core.State().FindListedVm("vm-0"), nullptr);
+}
+
 // Fails if a VM that gets a run is not long-polled at once: its lease would end
 // with the deadline of the start.
 TEST_F(VmPollerTest, VmWithARunIsLongPolledAtOnce) {
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -61,8 +61,8 @@
 // runs in m_open; both are derived from the log.
 struct VmState {
   VmDescription m_description;
-  // In the platform's list now. False also for an incarnation that is known
-  // only from the log.
+  // Named by the platform's list now, and no newer incarnation has reported to
+  // this owner. False also for an incarnation that is known only from the log.
   bool m_listed = false;
   // The VM accepted this owner's fence and then reported its lists of runs.
   bool m_fenced = false;
@@ -76,6 +76,9 @@
   // Sequence number of the last run end that is in the store; the VM may
   // discard ends up to this one.
   std::uint64_t m_durable_end = 0;
+  // Sequence number of the last run end that the VM has discarded on this
+  // owner's order.
+  std::uint64_t m_acknowledged_end = 0;
   // Owner's steady clock: when the open poll should be answered, not counting
   // the network delay; 0 while none is open.
   std::int64_t m_poll_due_ms = 0;
