A run's failure counts once, however often its end is reported

Its worker had not reached the store for 5 s, while the daemons reached the worker.

Cause: with the end in the store, a worker without entry and runs was dropped at once, with the number of its last end, and was no longer polled, so the end was never acknowledged. When the entry was back, the worker listed the end again, and each reported end of a task counted as a failure. The daemon's log shows the same run ended twice, 4.5 s apart; the worker's record shows one end.

A VM is kept and polled until it has discarded its ends, for up to 60 s after it was last listed. On the same paths: a late failure of an earlier run of a gang now counts, and an end that comes again no longer replaces the checkpoint of a newer run.

Tests: with each report counted, FailureIsCountedOnceAfterTheEntryWasAway, NewOwnerCountsAFailureOnce, LateFailureOfAnEarlierGangRunCounts and two older gang tests fail; with the VM dropped before the acknowledgement, EndsOfAnUnlistedVmAreAcknowledged fails; with any end's checkpoint taken, RepeatedEndKeepsTheNewerCheckpoint fails.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -197,6 +197,7 @@
   bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
                                 const CellTime& now);
   void MarkRunsLost(VmState& vm, const CellTime& now);
+  static bool IsForgettable(VmState& vm, const CellTime& now);
   void ExpireVmLeases(const CellTime& now);
   void ReleaseOccurrences(Job& job, const CellTime& now);
   void ReleaseDueOccurrences(const CellTime& now);
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -380,6 +380,126 @@
   EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
 }
 
+// Fails if the failure of a run is counted again when the VM reports it again:
+// the VM's entry was away until the owner had dropped its number of the last
+// end, and a job that may fail twice was shown as failed after one failure
+// (LOST, review/3).
+TEST_F(CellCoreTest, FailureIsCountedOnceAfterTheEntryWasAway) {
+  AddVms(1);
+  QueueRules queue = m_cell.Queue();
+  queue.m_max_attempts = 2;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+  m_cell.Run(200);
+  m_cell.AddVm("vm-1", kVmCapacity);
+  m_cell.Unlist("vm-0");
+  m_cell.End(1, RunEnd::kFailed);
+  m_cell.Look();
+  const std::vector<ReportedEnd> ended = m_cell.Vm("vm-0").m_ended;
+  ASSERT_EQ(ended.size(), 1U);
+  // Not reachable for longer than its ends are waited for.
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.Run(70'000);
+  m_cell.Vm("vm-0").m_reachable = true;
+  m_cell.Vm("vm-0").m_ended = ended;
+  m_cell.List("vm-0");
+  m_cell.Run(500);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.End(1, RunEnd::kFailed);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+}
+
+// Fails if the ends of a VM are never acknowledged because its entry is away:
+// the owner still reaches the VM, which lists them until then.
+TEST_F(CellCoreTest, EndsOfAnUnlistedVmAreAcknowledged) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(200);
+  m_cell.Unlist("vm-0");
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(500);
+  EXPECT_TRUE(m_cell.Vm("vm-0").m_ended.empty());
+  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+  EXPECT_TRUE(m_cell.Core().State().Vms().empty());
+}
+
+// Fails if a new owner counts a failure again that the log or its snapshot
+// holds, because the VM was not listed when the owner began.
+TEST_F(CellCoreTest, NewOwnerCountsAFailureOnce) {
+  for (const bool from_snapshot : {false, true}) {
+    m_cell = CellHarness();
+    AddVms(1);
+    QueueRules queue = m_cell.Queue();
+    queue.m_max_attempts = 2;
+    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+    m_cell.Run(200);
+    m_cell.End(1, RunEnd::kFailed);
+    m_cell.Look();
+    const std::vector<ReportedEnd> ended = m_cell.Vm("vm-0").m_ended;
+    m_cell.Pump();
+    m_cell.Run(100);
+    if (from_snapshot) {
+      m_cell.m_log = m_cell.Core().State().Snapshot();
+    }
+    m_cell.TakeOver();
+    m_cell.Unlist("vm-0");
+    // The second run counts as lost, then the VM is dropped.
+    for (int i = 0; i < 3; ++i) {
+      m_cell.RunWithoutPolls(70'000);
+    }
+    ASSERT_TRUE(m_cell.Core().State().Vms().empty());
+    m_cell.Vm("vm-0").m_ended = ended;
+    m_cell.List("vm-0");
+    m_cell.Run(500);
+    EXPECT_EQ(PhaseOf(1), JobPhase::kRunning) << from_snapshot;
+  }
+}
+
+// Fails if a late failure of an earlier run of a gang is not counted because a
+// newer run failed first: the gang got more attempts than its queue allows.
+TEST_F(CellCoreTest, LateFailureOfAnEarlierGangRunCounts) {
+  ASSERT_NO_FATAL_FAILURE(StartGangThatFailedOnce(40'000));
+  const VmIncarnation vm = m_cell.m_starts.back().m_vm;
+  const auto failed = [&](std::uint32_t run) {
+    return RunEnded{
+        {CellHarness::Id(1), 0, 0, 0}, run, RunEnd::kFailed, "", vm, 0, 0};
+  };
+  CellState& state = m_cell.Core().State();
+  state.Apply(failed(5));
+  EXPECT_EQ(
+      state.FindStep({CellHarness::Id(1), 0, 0, 0})->m_gang_failures.Count(),
+      2U);
+  state.Apply(failed(4));
+  EXPECT_TRUE(state.FindJob(CellHarness::Id(1))->m_failed);
+}
+
+// Fails if an end that is reported again replaces the checkpoint of a newer
+// run: work that was saved was done again.
+TEST_F(CellCoreTest, RepeatedEndKeepsTheNewerCheckpoint) {
+  AddVms(1);
+  StepSpec step = CellHarness::Step(1, 1'000);
+  step.m_checkpoint = true;
+  m_cell.Submit(m_cell.Job(1, {step}));
+  m_cell.Run(200);
+  m_cell.End(1, RunEnd::kLeaseExpired, "first");
+  m_cell.Look();
+  const ReportedEnd first = m_cell.Vm("vm-0").m_ended.at(0);
+  m_cell.Run(200);
+  m_cell.End(1, RunEnd::kLeaseExpired, "second");
+  m_cell.Run(200);
+  m_cell.Core().State().Apply(RunEnded{first.m_task,
+                                       first.m_run,
+                                       first.m_end,
+                                       first.m_checkpoint,
+                                       {"vm-0", 1},
+                                       0,
+                                       0});
+  m_cell.End(1, RunEnd::kLeaseExpired);
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.m_starts.back().m_checkpoint, "second");
+}
+
 // Fails if members of a gang continue after one has failed, or if the gang
 // restarts while a member of the aborted run may still be running.
 TEST_F(CellCoreTest, GangRestartsOnlyAfterAllMembersEnded) {
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -20,6 +20,9 @@
 constexpr std::int64_t kAvoidUnhealthyMs = 400;
 // Time between the computed end of a lease and the end of the VM's runs.
 constexpr std::int64_t kLeaseExpirySlackMs = 300;
+// How long ends of a VM that is not listed any more are waited for. Ends that
+// it reports later are processed again, each failure counted once.
+constexpr std::int64_t kAwaitUnlistedVmMs = 60'000;
 // A call without an answer may be executed this much later.
 constexpr std::int64_t kLateCallMs = 5'000;
 // Extra real time that a lease may last because a VM's clock is slow, as a
@@ -135,6 +138,8 @@
       continue;
     }
     life->m_listed = false;
+    // Its ends went with it.
+    life->m_acknowledged_end = life->m_last_end;
     for (const RunKey& key : life->OpenRuns()) {
       const OpenRun* run = m_state.FindRun(key.first, key.second);
       if (run == nullptr || run->m_awaiting_log || run->Listed()) {
@@ -328,15 +333,30 @@
   }
 }
 
+// True if nothing has to be known of the VM any more. Ends that it has not
+// discarded are waited for: it may only be cut off from the VM list.
+bool CellCore::IsForgettable(VmState& vm, const CellTime& now) {
+  if (vm.m_listed || !vm.m_open.empty()) {
+    vm.m_unused_since_ms = 0;
+    return false;
+  }
+  if (vm.m_unused_since_ms == 0) {
+    vm.m_unused_since_ms = std::max<std::int64_t>(1, now.m_steady_ms);
+  }
+  return vm.m_last_end == vm.m_durable_end &&
+         (!vm.HasUnacknowledgedEnds() ||
+          now.m_steady_ms - vm.m_unused_since_ms > kAwaitUnlistedVmMs);
+}
+
 // Marks the runs of VMs whose lease has certainly expired as lost, and drops
 // unlisted VMs without runs.
 void CellCore::ExpireVmLeases(const CellTime& now) {
   std::vector<VmIncarnation> unused;
   for (auto& [life, vm] : m_state.Vms()) {
+    if (IsForgettable(vm, now)) {
+      unused.push_back(life);
+    }
     if (vm.m_open.empty()) {
-      if (!vm.m_listed && vm.m_last_end == vm.m_durable_end) {
-        unused.push_back(life);
-      }
       continue;
     }
     const bool unreachable =
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -91,6 +91,9 @@
     return vm;
   }
 
+  // The VM's entry is removed from the VM list.
+  void Unlist(const std::string& id) { m_core->OnVmUnlisted(id, Now()); }
+
   // The VM list names the VM as it is now.
   void List(const std::string& id) {
     m_core->OnVmListed(m_vms.at(id).m_description, Now());
@@ -203,7 +206,8 @@
     const VmIncarnation actual = vm.m_description.m_incarnation;
     std::vector<VmIncarnation> polled;
     for (const VmState* state : m_core->State().IncarnationsOf(actual.m_id)) {
-      if (state->m_listed || !state->m_open.empty()) {
+      if (state->m_listed || !state->m_open.empty() ||
+          state->HasUnacknowledgedEnds()) {
         polled.push_back(state->Incarnation());
       }
     }
@@ -215,8 +219,11 @@
         m_core->OnOtherIncarnation(asked, Report(vm), Now());
       } else {
         m_core->NextLease(*state, Now());
+        if (state->m_fenced) {
+          state->m_acknowledged_end = state->m_durable_end;
+        }
         std::erase_if(vm.m_ended, [&](const ReportedEnd& end) {
-          return end.m_sequence <= state->m_durable_end;
+          return end.m_sequence <= state->m_acknowledged_end;
         });
         m_core->OnVmReport(Report(vm), Now());
       }
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -14,6 +14,15 @@
   return job.m_failed ? JobResult::kFailed : JobResult::kComplete;
 }
 
+void AppendFailures(const TaskRef& task, const FailedRuns& failures,
+                    std::vector<LogRecord>& records) {
+  const std::vector<std::uint32_t>& runs = failures.Runs();
+  auto count = static_cast<std::uint32_t>(failures.Count() - runs.size());
+  for (const std::uint32_t run : runs) {
+    records.push_back(FailedRunSnapshot{task, ++count, run});
+  }
+}
+
 }  // namespace
 
 void CellState::Apply(const LogRecord& record) {
@@ -203,7 +212,9 @@
   StepState& step = occurrence.m_steps[record.m_task.m_step];
   const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
   TaskState& task = step.m_tasks[record.m_task.m_index];
-  if (!record.m_checkpoint.empty()) {
+  // An end that is reported again must not replace a newer run's checkpoint.
+  if (!record.m_checkpoint.empty() &&
+      (task.m_checkpoint.empty() || record.m_run == task.m_last_run)) {
     task.m_checkpoint = record.m_checkpoint;
   }
   if (job.Ended() || spec.m_long_lived) {
@@ -243,17 +254,20 @@
   }
 }
 
+FailedRuns& CellState::FailuresOf(const StepSpec& spec, StepState& step,
+                                  TaskState& task) {
+  return spec.m_gang ? step.m_gang_failures : task.m_failures;
+}
+
 void CellState::CountFailure(Job& job, StepState& step, TaskState& task,
                              const RunEnded& record) {
-  const bool gang = job.m_spec.m_steps[record.m_task.m_step].m_gang;
-  if (gang && step.m_last_failed_run >= record.m_run) {
+  const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
+  FailedRuns& failures = FailuresOf(spec, step, task);
+  if (!failures.Add(record.m_run)) {
     return;
   }
   task.m_last_failed_vm = record.m_vm.m_id;
-  std::uint32_t& failures = gang ? step.m_gang_failures : task.m_failures;
-  ++failures;
-  step.m_last_failed_run = std::max(step.m_last_failed_run, record.m_run);
-  if (failures >= job.m_spec.m_queue.m_max_attempts) {
+  if (failures.Count() >= job.m_spec.m_queue.m_max_attempts) {
     job.m_failed = true;
     job.m_ended_unix_ms = record.m_unix_ms;
   }
@@ -273,7 +287,7 @@
   auto& [job, occurrence, step, spec, task] = *place;
   task.m_last_run = record.m_last_run;
   step.m_last_run = std::max(step.m_last_run, record.m_last_run);
-  task.m_failures = record.m_failures;
+  task.m_failures.Restore(record.m_failures);
   task.m_checkpoint = record.m_checkpoint;
   if (record.m_done) {
     MarkDone(occurrence, step, task);
@@ -303,10 +317,10 @@
   UpdateActive(record.m_job, *job);
 }
 
-void CellState::ApplyOne(const GangSnapshot& record) {
+void CellState::ApplyOne(const FailedRunSnapshot& record) {
   if (const auto place = ResolveTask(record.m_task)) {
-    place->m_step.m_gang_failures = record.m_failures;
-    place->m_step.m_last_failed_run = record.m_last_failed_run;
+    FailuresOf(place->m_spec, place->m_step, place->m_task)
+        .Restore(record.m_failures, record.m_run);
   }
 }
 
@@ -354,18 +368,17 @@
     const TaskState& task = step.m_tasks[ref.m_index];
     // An ended job needs no task state.
     if (!job.Ended() && (task.m_last_run != 0 || task.m_done)) {
-      records.push_back(TaskSnapshot{ref, task.m_last_run, task.m_failures,
-                                     task.m_done, task.m_checkpoint});
+      records.push_back(TaskSnapshot{ref, task.m_last_run,
+                                     task.m_failures.Count(), task.m_done,
+                                     task.m_checkpoint});
+      AppendFailures(ref, task.m_failures, records);
     }
     for (const OpenRun& run : task.m_open) {
       open.push_back(RunPlanned{ref, run.m_number, run.m_vm});
     }
   }
-  if (step.m_gang_failures != 0) {
-    ref.m_index = 0;
-    records.push_back(
-        GangSnapshot{ref, step.m_gang_failures, step.m_last_failed_run});
-  }
+  ref.m_index = 0;
+  AppendFailures(ref, step.m_gang_failures, records);
 }
 
 std::vector<LogRecord> CellState::Snapshot() const {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -88,7 +88,7 @@
   void ApplyOne(const VmSnapshot& record);
   void ApplyOne(const JobSnapshot& record);
   void ApplyOne(const JobEnded& record);
-  void ApplyOne(const GangSnapshot& record);
+  void ApplyOne(const FailedRunSnapshot& record);
   static void AppendStepSnapshot(const Job& job, TaskRef ref,
                                  const StepState& step,
                                  std::vector<LogRecord>& records,
@@ -96,6 +96,9 @@
 
   void CloseRun(Job& job, const RunEnded& record);
   void CountEnd(Job& job, const RunEnded& record);
+  // The failures that count against the queue's attempts of the task.
+  static FailedRuns& FailuresOf(const StepSpec& spec, StepState& step,
+                                TaskState& task);
   static void MarkDone(Occurrence& occurrence, StepState& step,
                        TaskState& task);
   void CountFailure(Job& job, StepState& step, TaskState& task,
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/failed_runs.h"
 #include "cell/log_record.h"
 #include "cell/run_progress.h"
 #include "cell/workflow.h"
@@ -59,7 +60,8 @@
 
 struct TaskState {
   std::uint32_t m_last_run = 0;
-  std::uint32_t m_failures = 0;
+  // Not used for members of a gang, which fail together.
+  FailedRuns m_failures;
   bool m_done = false;
   // The newest checkpoint known; empty for none.
   std::string m_checkpoint;
@@ -96,8 +98,7 @@
   std::uint32_t m_done = 0;
   std::uint32_t m_open = 0;
   // Gangs only: failed runs, each counted once regardless of its members.
-  std::uint32_t m_gang_failures = 0;
-  std::uint32_t m_last_failed_run = 0;
+  FailedRuns m_gang_failures;
   std::uint32_t m_last_run = 0;
   // Volatile, by VM id.
   std::map<std::string, Advice> m_advice;
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -183,10 +183,10 @@
     m_out.Unsigned(static_cast<std::uint64_t>(record.m_result));
     m_out.Signed(record.m_ended_unix_ms);
   }
-  void operator()(const GangSnapshot& record) const {
+  void operator()(const FailedRunSnapshot& record) const {
     Write(m_out, record.m_task);
     m_out.Unsigned(record.m_failures);
-    m_out.Unsigned(record.m_last_failed_run);
+    m_out.Unsigned(record.m_run);
   }
 };
 
@@ -277,10 +277,10 @@
       return record;
     }
     case 8: {
-      GangSnapshot record;
+      FailedRunSnapshot record;
       record.m_task = ReadTask(in);
       record.m_failures = static_cast<std::uint32_t>(in.Unsigned());
-      record.m_last_failed_run = static_cast<std::uint32_t>(in.Unsigned());
+      record.m_run = static_cast<std::uint32_t>(in.Unsigned());
       return record;
     }
     default:
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -107,15 +107,16 @@
   bool operator==(const JobSnapshot&) const = default;
 };
 
-// Snapshot of the failed runs of a step's gang; follows those of its tasks.
-struct GangSnapshot {
-  // Any member of the gang; the index is not significant.
+// Snapshot of one failed run of a task or a gang; follows the snapshots of the
+// step's tasks, in ascending order of the runs.
+struct FailedRunSnapshot {
+  // For a gang the index is not significant.
   TaskRef m_task;
+  // Failed runs up to this one.
   std::uint32_t m_failures = 0;
-  // The newest run that was counted as failed.
-  std::uint32_t m_last_failed_run = 0;
+  std::uint32_t m_run = 0;
 
-  bool operator==(const GangSnapshot&) const = default;
+  bool operator==(const FailedRunSnapshot&) const = default;
 };
 
 enum class JobResult : std::uint8_t {
@@ -137,7 +138,7 @@
 
 using LogRecord =
     std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded, TaskSnapshot,
-                 VmSnapshot, JobSnapshot, JobEnded, GangSnapshot>;
+                 VmSnapshot, JobSnapshot, JobEnded, FailedRunSnapshot>;
 
 // Encodes any number of records as one value of the store.
 std::string EncodeRecords(const std::vector<LogRecord>& records);
--- a/Source/Core/cell/snapshot_model_test.cc
+++ b/Source/Core/cell/snapshot_model_test.cc
@@ -51,7 +51,8 @@
 }
 
 void RunRandomEvent(CellHarness& cell, int& jobs) {
-  switch (*rc::gen::inRange(0, 8)) {
+  const std::string vm = "vm-" + std::to_string(*rc::gen::inRange(0, kVms));
+  switch (*rc::gen::inRange(0, 12)) {
     case 0:
     case 1:
       if (jobs < kMaxJobs) {
@@ -64,12 +65,19 @@
       }
       break;
     case 3:
-      cell.Vm("vm-" + std::to_string(*rc::gen::inRange(0, kVms)))
-          .m_answers_starts = *rc::gen::inRange(0, 2) == 0;
+      cell.Vm(vm).m_answers_starts = *rc::gen::inRange(0, 2) == 0;
+      break;
+    case 4:
+      cell.Restart(vm, cell.Vm(vm).m_description.m_incarnation.m_born + 1);
+      break;
+    case 5:
+      cell.Unlist(vm);
+      break;
+    case 6:
+      cell.List(vm);
       break;
     default:
-      EndRandomRuns(
-          cell.Vm("vm-" + std::to_string(*rc::gen::inRange(0, kVms))));
+      EndRandomRuns(cell.Vm(vm));
       break;
   }
   cell.Run(*rc::gen::element(50, 150, 400));
@@ -106,8 +114,8 @@
         if constexpr (requires { one.m_failures; }) {
           text += fmt::format(" failures {}", one.m_failures);
         }
-        if constexpr (requires { one.m_last_failed_run; }) {
-          text += fmt::format(" failed run {}", one.m_last_failed_run);
+        if constexpr (requires { one.m_run; }) {
+          text += fmt::format(" run {}", one.m_run);
         }
         if constexpr (requires { one.m_done; }) {
           text += fmt::format(" done {}", one.m_done);
--- a/Source/Core/cell/vm_poller.h
+++ b/Source/Core/cell/vm_poller.h
@@ -60,7 +60,8 @@
         next = vms.begin();
       }
       VmState& vm = next->second;
-      const bool needed = vm.m_listed || !vm.m_open.empty();
+      const bool needed =
+          vm.m_listed || !vm.m_open.empty() || vm.HasUnacknowledgedEnds();
       if (needed && !vm.m_description.m_address.empty() &&
           !PollIfDue(vm, now, renew) && !skipped) {
         skipped = next->first;
@@ -177,8 +178,7 @@
 
   // Nothing runs on the VM, and all its ends were acknowledged.
   static bool Idle(const VmState& vm) {
-    return vm.m_fenced && vm.m_open.empty() &&
-           vm.m_acknowledged_end == vm.m_last_end;
+    return vm.m_fenced && vm.m_open.empty() && !vm.HasUnacknowledgedEnds();
   }
 
   // The sequence number up to which the next poll lets the VM discard ends.
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -79,6 +79,9 @@
   // Sequence number of the last run end that the VM has discarded on this
   // owner's order.
   std::uint64_t m_acknowledged_end = 0;
+  // Owner's steady clock: since when the VM is neither listed nor has runs; 0
+  // if it is or has.
+  std::int64_t m_unused_since_ms = 0;
   // Owner's steady clock: when the open poll should be answered, not counting
   // the network delay; 0 while none is open.
   std::int64_t m_poll_due_ms = 0;
@@ -96,6 +99,7 @@
   const VmIncarnation& Incarnation() const {
     return m_description.m_incarnation;
   }
+  bool HasUnacknowledgedEnds() const { return m_acknowledged_end < m_last_end; }
   Resources Free() const { return m_description.m_capacity - m_used; }
   bool HasLabel(const std::string& label) const;
   // True if the VM has the step's required label or the step requires none.
