A job has begun only when a VM says so

Cause: AfterEnd took every end but 'not begun' as a sign that the job had begun, also 'lost', which the owner concludes by itself. The count is right until the line runs_ended with how=lost, and wrong from then on.

Change: a run's listing, the answer to its start, or an end that its VM reported confirms a job. The first confirmation goes into the log with the next batch, without a write of its own, as a flag that the version before reads as 'started'; a confirmation that is not written yet comes again with the lists.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -32,8 +32,6 @@
   m_state.TakeChangedJobs();
   for (auto& [id, job] : m_state.Jobs()) {
     job->m_visible_phase = job->Phase();
-    // An open run was confirmed by its VM or will be by the VM's next report.
-    job->m_confirmed = job->m_started;
   }
   for (auto& [life, vm] : m_state.Vms()) {
     vm.m_durable_end = vm.m_last_end;
@@ -195,9 +193,6 @@
     Defer(StopJob{task.m_job});
     return;
   }
-  if (end != RunEnd::kNotStarted) {
-    job->m_confirmed = true;
-  }
   const bool gang = job->m_spec.m_steps[task.m_step].m_gang;
   if (gang && end != RunEnd::kDone) {
     StopGangRun(task, run, now);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -168,6 +168,7 @@
   static bool IsEffectOf(const DeferredEffect& effect,
                          const std::set<std::string>& jobs);
   void WithdrawUnwrittenJobs();
+  void AppendConfirmations();
   void Refuse(std::uint64_t token, std::string reason,
               std::int64_t retry_after_ms);
 
@@ -189,6 +190,8 @@
                             std::int64_t now_ms) const;
   void ProcessReportedEnds(VmState& vm, const VmReport& report,
                            const CellTime& now);
+  // A VM executed a start of the task.
+  void ConfirmRun(const TaskRef& task);
   void ProcessReportedRuns(VmState& vm, const VmReport& report);
   void CloseUnlistedRuns(VmState& vm, const VmReport& report,
                          const CellTime& now);
@@ -216,6 +219,8 @@
   Batch m_open;
   std::optional<Batch> m_in_flight;
   std::vector<Effect> m_effects;
+  // Jobs with a first confirmed run that no log record shows yet.
+  std::vector<std::string> m_newly_confirmed;
   bool m_dirty = true;
   bool m_store_writable = true;
   // Owner's steady clock when recovery finished.
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 #include "cell/cell_core.h"
 #include "cell/pool_capacity.h"
@@ -99,8 +100,20 @@
   }
 }
 
+// Confirmations are not worth a write of their own: until they are in the log,
+// a new owner learns them from the lists of the VMs.
+void CellCore::AppendConfirmations() {
+  for (const std::string& id : std::exchange(m_newly_confirmed, {})) {
+    const Job* job = m_state.FindJob(id);
+    if (job != nullptr && !job->Ended()) {
+      m_open.m_records.push_back(JobProgress{id, 0, false, true, true});
+    }
+  }
+}
+
 const std::vector<LogRecord>& CellCore::BeginBatch() {
   Invariant(!m_in_flight, "at most one log batch may be in flight");
+  AppendConfirmations();
   m_in_flight = std::move(m_open);
   m_open = {};
   return m_in_flight->m_records;
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -655,6 +655,54 @@
   EXPECT_EQ(m_cell.CountWaiting(), 0U);
 }
 
+// Fails if a job stops counting as waiting because its run was lost: its start
+// had gone to a VM that was lost for good, no task had begun, and `pending` was
+// 0 for as long as the job waited (MIXED, review/5).
+TEST_F(CellCoreTest, JobWhoseStartWasLostCountsAsWaiting) {
+  AddVms(1);
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.Run(2 * kVmLeaseMs);
+  ASSERT_TRUE(m_cell.Core().State().FindJob(CellHarness::Id(1))->m_open_runs ==
+              0);
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  m_cell.TakeOver();
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  TakeOverFromSnapshot();
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  m_cell.AddVm("vm-1", kVmCapacity);
+  m_cell.Run(200);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  EXPECT_EQ(m_cell.CountWaiting(), 0U);
+}
+
+// Fails if a job counts as waiting, or no longer does, because a start was
+// refused or the owner changed.
+TEST_F(CellCoreTest, NewOwnerKnowsWhichJobsHaveBegun) {
+  AddVms(1);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  m_cell.Run(100);
+  // Its record takes the confirmation of job 1 with it.
+  m_cell.Vm("vm-0").m_delays_starts = true;
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
+  m_cell.Pump();
+  const StartRun refused = m_cell.m_starts.back();
+  m_cell.Core().OnStartAnswer({refused.m_task, refused.m_run, refused.m_vm,
+                               StartOutcome::kRefused, 0, "room"},
+                              m_cell.Now());
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  m_cell.Pump();
+  // The VM is lost, so its lists tell the new owners nothing.
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.TakeOver();
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+  TakeOverFromSnapshot();
+  m_cell.Run(4 * kVmLeaseMs);
+  EXPECT_EQ(m_cell.CountWaiting(), 1U);
+}
+
 // Fails if jobs that fail on every VM cause healthy VMs to be avoided.
 TEST_F(CellCoreTest, FailingJobsDoNotBlockHealthyVms) {
   AddVms(2);
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -196,7 +196,7 @@
     if (run->m_phase == RunPhase::kPlanned) {
       run->m_phase = RunPhase::kRunning;
       run->m_listed_after_vm_ms = report.m_vm_ms;
-      m_state.FindJob(listed.m_task.m_job)->m_confirmed = true;
+      ConfirmRun(listed.m_task);
     }
     run->m_progress.OnReport(listed.m_percent, report.m_vm_ms);
     if (!listed.m_checkpoint.empty()) {
@@ -210,6 +210,14 @@
   }
 }
 
+void CellCore::ConfirmRun(const TaskRef& task) {
+  Job& job = *m_state.FindJob(task.m_job);
+  if (!job.m_confirmed) {
+    job.m_confirmed = true;
+    m_newly_confirmed.push_back(task.m_job);
+  }
+}
+
 // A slow or stalled VM gets no starts for a while, and its runs are moved where
 // that is faster.
 void CellCore::HandleVmPace(VmState& vm, const CellTime& now) {
@@ -423,7 +431,7 @@
         run->m_phase = RunPhase::kRunning;
         run->m_listed_after_vm_ms = answer.m_vm_ms;
       }
-      m_state.FindJob(answer.m_task.m_job)->m_confirmed = true;
+      ConfirmRun(answer.m_task);
       return;
     case StartOutcome::kUnknown:
     case StartOutcome::kSuperseded:
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -184,6 +184,8 @@
   if (job == nullptr || FindTask(record.m_task) == nullptr) {
     return;
   }
+  // Only an end that the VM reported shows that the run began.
+  job->m_confirmed = job->m_confirmed || record.m_sequence > 0;
   CloseRun(*job, record);
   CountEnd(*job, record);
   m_changed.push_back(record.m_task.m_job);
@@ -302,12 +304,13 @@
   vm.m_last_end = std::max(vm.m_last_end, record.m_last_end);
 }
 
-void CellState::ApplyOne(const JobSnapshot& record) {
+void CellState::ApplyOne(const JobProgress& record) {
   Job* job = FindJob(record.m_job);
   if (job == nullptr) {
     return;
   }
   job->m_started = job->m_started || record.m_started;
+  job->m_confirmed = job->m_confirmed || record.m_confirmed;
   job->m_ended_unix_ms = record.m_ended_unix_ms;
   if (record.m_failed) {
     job->m_failed = true;
@@ -400,8 +403,8 @@
     if (job->m_cancelled) {
       records.push_back(JobCancelled{id, job->m_ended_unix_ms});
     }
-    records.push_back(
-        JobSnapshot{id, job->m_ended_unix_ms, job->m_failed, job->m_started});
+    records.push_back(JobProgress{id, job->m_ended_unix_ms, job->m_failed,
+                                  job->m_started, job->m_confirmed});
   }
   records.insert(records.end(), open.begin(), open.end());
   for (const auto& [life, vm] : m_vms) {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -86,7 +86,7 @@
   void ApplyOne(const RunEnded& record);
   void ApplyOne(const TaskSnapshot& record);
   void ApplyOne(const VmSnapshot& record);
-  void ApplyOne(const JobSnapshot& record);
+  void ApplyOne(const JobProgress& record);
   void ApplyOne(const JobEnded& record);
   void ApplyOne(const FailedRunSnapshot& record);
   static void AppendStepSnapshot(const Job& job, TaskRef ref,
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -143,8 +143,8 @@
   // Volatile: scheduled occurrences that were released, the first ones.
   std::uint32_t m_released_occurrences = 0;
   bool m_started = false;
-  // Volatile: a VM confirmed a run. Until then the job counts as waiting, even
-  // if a start is planned.
+  // A VM confirmed a run. Until then the job counts as waiting, also if a start
+  // is planned, or a run was lost that may not have begun.
   bool m_confirmed = false;
   bool m_cancelled = false;
   bool m_failed = false;
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -10,6 +10,10 @@
 
 constexpr std::uint64_t kFormatVersion = 1;
 constexpr double kFractionScale = 1e6;
+// Flags of JobProgress. Versions without the second one read any flag as the
+// first, which it implies.
+constexpr std::uint64_t kStartedBit = 1;
+constexpr std::uint64_t kConfirmedBit = 2;
 
 void Write(ByteWriter& out, const TaskRef& task) {
   out.Text(task.m_job);
@@ -171,11 +175,12 @@
     Write(m_out, record.m_vm);
     m_out.Unsigned(record.m_last_end);
   }
-  void operator()(const JobSnapshot& record) const {
+  void operator()(const JobProgress& record) const {
     m_out.Text(record.m_job);
     m_out.Signed(record.m_ended_unix_ms);
     m_out.Bool(record.m_failed);
-    m_out.Bool(record.m_started);
+    m_out.Unsigned((record.m_started ? kStartedBit : 0) |
+                   (record.m_confirmed ? kConfirmedBit : 0));
   }
   void operator()(const JobEnded& record) const {
     m_out.Text(record.m_job);
@@ -261,11 +266,13 @@
       return record;
     }
     case 6: {
-      JobSnapshot record;
+      JobProgress record;
       record.m_job = in.Text();
       record.m_ended_unix_ms = in.Signed();
       record.m_failed = in.Bool();
-      record.m_started = in.Bool();
+      const std::uint64_t flags = in.Unsigned();
+      record.m_started = flags != 0;
+      record.m_confirmed = (flags & kConfirmedBit) != 0;
       return record;
     }
     case 7: {
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -97,14 +97,17 @@
   bool operator==(const VmSnapshot&) const = default;
 };
 
-// Snapshot of a job's progress.
-struct JobSnapshot {
+// A job's progress: in snapshots, and once when a VM first confirmed a run of a
+// job that has not ended.
+struct JobProgress {
   std::string m_job;
   std::int64_t m_ended_unix_ms = 0;
   bool m_failed = false;
   bool m_started = false;
+  // A VM confirmed a run of the job.
+  bool m_confirmed = false;
 
-  bool operator==(const JobSnapshot&) const = default;
+  bool operator==(const JobProgress&) const = default;
 };
 
 // Snapshot of one failed run of a task or a gang; follows the snapshots of the
@@ -138,7 +141,7 @@
 
 using LogRecord =
     std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded, TaskSnapshot,
-                 VmSnapshot, JobSnapshot, JobEnded, FailedRunSnapshot>;
+                 VmSnapshot, JobProgress, JobEnded, FailedRunSnapshot>;
 
 // Encodes any number of records as one value of the store.
 std::string EncodeRecords(const std::vector<LogRecord>& records);
