One malformed link message no longer ends a daemon

Causes: the parser of message headers recurses without a bound; OnAdvice took the step of an answer as an index; jobs from other daemons were not checked again; values outside enumerations were passed on.

Change: headers deeper than 16 levels are malformed; the owner takes what was asked from its own open calls; jobs from other daemons pass the callers' check; unknown values are errors.

Tests (Source/Core/cell/cell_request_test.cc), on the code before: RejectsDeepNesting and AdviceForAnUnknownStepIsIgnored end with signal 11, RejectsJobsThatCannotRun and RejectsUnknownKindsMethodsAndOutcomes fail. Random changes of valid messages and records found nothing further. All 20 tests pass with the change.

--- a/Source/Core/cell/advice_queue.h
+++ b/Source/Core/cell/advice_queue.h
@@ -79,10 +79,18 @@
     return Assignment{best, number};
   }
 
-  // Removes an answered call; false if it is unknown because it timed out.
-  bool Finish(std::uint64_t daemon, std::uint64_t number) {
+  // Removes and returns an answered call; nullopt if it is unknown because it
+  // timed out.
+  std::optional<AdviceRequest> Finish(std::uint64_t daemon,
+                                      std::uint64_t number) {
     const auto calls = m_daemons.find(daemon);
-    return calls != m_daemons.end() && calls->second.erase(number) > 0;
+    if (calls == m_daemons.end()) {
+      return std::nullopt;
+    }
+    auto call = calls->second.extract(number);
+    return call.empty()
+               ? std::nullopt
+               : std::optional(std::move(call.mapped().m_advice_request));
   }
 
   // Removes and returns the calls that were not answered in time.
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -486,12 +486,14 @@
 }
 
 void CellCore::OnAdvice(const AdviceAnswer& answer, const CellTime& now) {
-  Job* job = m_state.FindJob(answer.m_step.m_job);
-  if (job == nullptr) {
+  const StepRef& ref = answer.m_step;
+  const Job* job = m_state.FindJob(ref.m_job);
+  StepState* found =
+      m_state.FindStep({ref.m_job, ref.m_occurrence, ref.m_step, 0});
+  if (found == nullptr) {
     return;
   }
-  StepState& step = job->OccurrenceAt(answer.m_step.m_occurrence)
-                        .m_steps[answer.m_step.m_step];
+  StepState& step = *found;
   step.m_pending_advice_vms.clear();
   m_dirty = true;
   if (!answer.m_ok) {
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -129,7 +129,10 @@
   }
   void OnRemoteAdvice(std::uint64_t daemon, std::uint64_t number,
                       AdviceAnswer answer) {
-    if (m_advice_queue.Finish(daemon, number)) {
+    if (auto call = m_advice_queue.Finish(daemon, number)) {
+      // What was asked is not taken from the answer, which may be malformed.
+      answer.m_step = std::move(call->m_step);
+      answer.m_asked = std::move(call->m_vms);
       LogAdvice(answer);
       m_core.OnAdvice(answer, m_loop.Now());
       SchedulePump();
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -75,6 +75,9 @@
 Result<CellRequest> DecodeRequest(const RpcMessage& message) {
   CellRequest request;
   request.m_method = message.m_header.at("m");
+  if (request.m_method > CellMethod::kCount) {
+    return Fail(ErrorCode::kInvalidArgument, "unknown_method");
+  }
   request.m_queue = message.m_header.at("q");
   request.m_job = message.m_header.at("j");
   if (request.m_method == CellMethod::kSubmit) {
@@ -88,6 +91,9 @@
     if (job == nullptr) {
       return Fail(ErrorCode::kInvalidArgument, "malformed_message");
     }
+    if (auto valid = ValidateWorkflow(job->m_spec); !valid) {
+      return tl::unexpected(valid.error());
+    }
     request.m_spec = job->m_spec;
   }
   return request;
@@ -117,6 +123,10 @@
     }
     case LinkMessageKind::kAnswer:
       decoded.m_answer = AnswerFromJson(header.at("a"));
+      if (decoded.m_answer.m_outcome > CellOutcome::kUnknown ||
+          decoded.m_answer.m_phase > JobPhase::kCancelled) {
+        return Fail(ErrorCode::kInvalidArgument, "unknown_answer");
+      }
       break;
     case LinkMessageKind::kAdviceRequest:
       decoded.m_advice_request.m_step = StepFromJson(header.at("s"));
--- a/Source/Core/transport/message.cc
+++ b/Source/Core/transport/message.cc
@@ -9,6 +9,38 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr const char* kErrorField = "$error";
+// The parser recurses once a level, so deep nesting would exhaust the stack.
+constexpr int kMaxHeaderDepth = 16;
+
+// Passes over a header and stops at the first value that is nested too deeply.
+class DepthLimit : public nlohmann::json_sax<nlohmann::json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return Enter(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t, const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  bool Enter() { return ++m_depth <= kMaxHeaderDepth; }
+  bool Leave() {
+    --m_depth;
+    return true;
+  }
+
+  int m_depth = 0;
+};
 
 }  // namespace
 
@@ -38,6 +70,11 @@
     return Fail(ErrorCode::kInvalidArgument, "truncated_message");
   }
   const std::string_view header = bytes.substr(0, length);
+  DepthLimit depth_limit;
+  if (!nlohmann::json::sax_parse(header.begin(), header.end(), &depth_limit,
+                                 nlohmann::json::input_format_t::cbor)) {
+    return Fail(ErrorCode::kInvalidArgument, "malformed_message");
+  }
   RpcMessage message;
   message.m_header =
       nlohmann::json::from_cbor(header.begin(), header.end(), true, false);
