--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -1,4 +1,4 @@
-// CellCore: reports and failures of VMs, and answers of the advice service.
+// CellCore: reports of VMs, and answers to starts, stops and advice calls.
 #include <algorithm>
 #include <set>
 
@@ -18,16 +18,6 @@
 // its failures no longer count against VMs.
 constexpr std::size_t kVmsBeforeJobIsAtFault = 3;
 constexpr std::int64_t kAvoidUnhealthyMs = 400;
-// Time between the computed end of a lease and the end of the VM's runs.
-constexpr std::int64_t kLeaseExpirySlackMs = 300;
-// How long ends of a VM that is not listed any more are waited for. Ends that
-// it reports later are processed again, each failure counted once.
-constexpr std::int64_t kAwaitUnlistedVmMs = 60'000;
-// A call without an answer may be executed this much later.
-constexpr std::int64_t kLateCallMs = 5'000;
-// Extra real time that a lease may last because a VM's clock is slow, as a
-// divisor of its length: 2 %.
-constexpr std::int64_t kSlowClockDivisor = 50;
 // Subtracted from a ticket's validity, which begins at its issue and not when
 // the answer arrives.
 constexpr std::int64_t kTicketTransitMs = 50;
@@ -48,40 +38,6 @@
 
 }  // namespace
 
-void CellCore::OnVmListed(const VmDescription& description, const CellTime&) {
-  VmState& vm = m_state.FindOrCreateVm(description.m_incarnation);
-  vm.m_description = description;
-  // The list names one incarnation of a VM. Runs of others end only when the
-  // new one reports: the entry may be another writer's, and a start may have
-  // reached the new incarnation before it was listed.
-  bool superseded = false;
-  for (VmState* life : m_state.IncarnationsOf(description.m_incarnation.m_id)) {
-    life->m_listed = false;
-    superseded = superseded || (life->m_fenced && life->Incarnation().m_born >
-                                                      vm.Incarnation().m_born);
-  }
-  vm.m_listed = !superseded;
-  m_dirty = true;
-}
-
-void CellCore::OnVmUnlisted(const std::string& id, const CellTime&) {
-  for (VmState* life : m_state.IncarnationsOf(id)) {
-    life->m_listed = false;
-  }
-}
-
-std::optional<std::int64_t> CellCore::NextLease(VmState& vm,
-                                                const CellTime& now) const {
-  if (!vm.m_clock.Known() || vm.m_first_failed_call_ms != 0) {
-    return std::nullopt;
-  }
-  const std::int64_t length = std::min(kVmLeaseMs, m_bounds.m_max_lease_ms);
-  const std::int64_t deadline =
-      vm.m_clock.LowerBoundMs(now.m_steady_ms) + length;
-  vm.m_lease_until_vm_ms = std::max(vm.m_lease_until_vm_ms, deadline);
-  return deadline;
-}
-
 void CellCore::OnVmReport(const VmReport& report, const CellTime& now) {
   VmState* vm = m_state.FindVm(report.m_vm);
   if (vm == nullptr) {
@@ -113,63 +69,6 @@
   HandleVmPace(*vm, now);
 }
 
-void CellCore::OnOtherIncarnation(const VmIncarnation& asked,
-                                  const VmReport& report, const CellTime& now) {
-  OnVmCallFailed(asked, now);
-  if (report.m_vm.m_born > asked.m_born) {
-    // Unlisted, and so without starts, until its own entry gives its capacity.
-    VmState& vm = m_state.FindOrCreateVm(report.m_vm);
-    const VmState* earlier = m_state.FindVm(asked);
-    if (vm.m_description.m_address.empty() && earlier != nullptr) {
-      vm.m_description.m_address = earlier->m_description.m_address;
-    }
-  }
-  // An older one than asked: the asked one is not there, whatever the list
-  // says.
-  OnVmReport(report, now);
-}
-
-// The VM answered as this incarnation, so the earlier ones are gone. Runs that
-// they listed are lost. Other runs may be on this one: calls name a VM by its
-// id alone.
-void CellCore::EndEarlierIncarnations(const VmState& vm, const CellTime& now) {
-  for (VmState* life : m_state.IncarnationsOf(vm.Incarnation().m_id)) {
-    if (life->Incarnation().m_born >= vm.Incarnation().m_born) {
-      continue;
-    }
-    life->m_listed = false;
-    // Its ends went with it.
-    life->m_acknowledged_end = life->m_last_end;
-    for (const RunKey& key : life->OpenRuns()) {
-      const OpenRun* run = m_state.FindRun(key.first, key.second);
-      if (run == nullptr || run->m_awaiting_log || run->Listed()) {
-        CloseRun(key.first, key.second, life->Incarnation(), RunEnd::kLost, "",
-                 0, now);
-      } else {
-        CarryOver(key, *life, vm);
-      }
-    }
-  }
-}
-
-// Charges the run to `to`. The first record keeps the job active while the
-// second one closes the run on `from`.
-void CellCore::CarryOver(const RunKey& key, const VmState& from,
-                         const VmState& to) {
-  const auto& [task, number] = key;
-  const OpenRun before = *m_state.FindRun(task, number);
-  Append(RunPlanned{task, number, to.Incarnation()});
-  Append(RunEnded{task, number, RunEnd::kNotStarted, "", from.Incarnation(), 0,
-                  0});
-  OpenRun& run = *m_state.FindRun(task, number);
-  run.m_carried_over = true;
-  run.m_start_sent_ms = before.m_start_sent_ms;
-  // The fence of this owner already keeps out the starts of earlier ones.
-  run.m_listed_after_vm_ms =
-      before.m_start_sent_ms == 0 ? 0 : OpenRun::kUnknownVmTime;
-  ++m_counters.m_carried_over;
-}
-
 void CellCore::ProcessReportedEnds(VmState& vm, const VmReport& report,
                                    const CellTime& now) {
   vm.m_acknowledged_end = vm.m_last_end;
@@ -334,91 +233,6 @@
   }
 }
 
-void CellCore::OnVmCallFailed(const VmIncarnation& life, const CellTime& now) {
-  VmState* vm = m_state.FindVm(life);
-  if (vm == nullptr) {
-    return;
-  }
-  vm->m_poll_due_ms = 0;
-  if (vm->m_first_failed_call_ms == 0) {
-    vm->m_first_failed_call_ms = std::max<std::int64_t>(1, now.m_steady_ms);
-  }
-}
-
-// True if nothing has to be known of the VM any more. Ends that it has not
-// discarded are waited for: it may only be cut off from the VM list.
-bool CellCore::IsForgettable(VmState& vm, const CellTime& now) {
-  if (vm.m_listed || !vm.m_open.empty()) {
-    vm.m_unused_since_ms = 0;
-    return false;
-  }
-  if (vm.m_unused_since_ms == 0) {
-    vm.m_unused_since_ms = std::max<std::int64_t>(1, now.m_steady_ms);
-  }
-  return vm.m_last_end == vm.m_durable_end &&
-         (!vm.HasUnacknowledgedEnds() ||
-          now.m_steady_ms - vm.m_unused_since_ms > kAwaitUnlistedVmMs);
-}
-
-// Marks the runs of VMs whose lease has certainly expired as lost, and drops
-// unlisted VMs without runs.
-void CellCore::ExpireVmLeases(const CellTime& now) {
-  std::vector<VmIncarnation> unused;
-  for (auto& [life, vm] : m_state.Vms()) {
-    if (IsForgettable(vm, now)) {
-      unused.push_back(life);
-    }
-    if (vm.m_open.empty()) {
-      continue;
-    }
-    const bool unreachable =
-        vm.m_first_failed_call_ms != 0 || !vm.m_listed || !vm.m_fenced;
-    if (!unreachable) {
-      continue;
-    }
-    bool expired = false;
-    if (vm.m_clock.Known()) {
-      expired = vm.m_clock.LowerBoundMs(now.m_steady_ms) >
-                vm.m_lease_until_vm_ms + kLeaseExpirySlackMs;
-    } else {
-      // The latest possible end of a lease granted by an earlier owner.
-      const std::int64_t longest = kRenewWithoutStoreMs + kVmLeaseMs +
-                                   kVmLeaseMs / kSlowClockDivisor +
-                                   kLeaseExpirySlackMs;
-      expired = now.m_steady_ms - m_recovered_ms > longest;
-    }
-    if (expired) {
-      MarkRunsLost(vm, now);
-    }
-  }
-  for (const VmIncarnation& life : unused) {
-    m_state.Vms().erase(life);
-  }
-}
-
-// True if the run's start may have reached a newer incarnation, which has not
-// answered yet, and the longest lease there has not expired.
-bool CellCore::MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
-                                        const CellTime& now) {
-  const std::int64_t sent_ms = std::max(run.m_start_sent_ms, m_recovered_ms);
-  const std::int64_t longest = kLateCallMs + m_bounds.m_max_lease_ms +
-                               m_bounds.m_max_lease_ms / kSlowClockDivisor +
-                               kLeaseExpirySlackMs;
-  return !run.Listed() && now.m_steady_ms - sent_ms < longest &&
-         m_state.HasNewerIncarnation(vm.Incarnation());
-}
-
-void CellCore::MarkRunsLost(VmState& vm, const CellTime& now) {
-  for (const RunKey& key : vm.OpenRuns()) {
-    const OpenRun* run = m_state.FindRun(key.first, key.second);
-    if (run != nullptr && MayRunOnNewerIncarnation(vm, *run, now)) {
-      continue;
-    }
-    CloseRun(key.first, key.second, vm.Incarnation(), RunEnd::kLost, "", 0,
-             now);
-  }
-}
-
 void CellCore::OnStartAnswer(const StartAnswer& answer, const CellTime& now) {
   OpenRun* run = m_state.FindRun(answer.m_task, answer.m_run);
   // The run may have been carried over to a newer incarnation meanwhile.
