A carried-over run is looked for with a short poll

Cause: a run that was planned before a restart of its VM and is not there was given up only by the second list, and the poll before that waited 600 ms for an end. Its task waited that much longer.

--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -188,6 +188,10 @@
     if (run == nullptr || run->m_progress.WorkDone()) {
       continue;
     }
+    if (run->m_carried_over && !run->Listed()) {
+      // The next list shows whether the run is there.
+      return kMinPollWaitMs;
+    }
     const auto end_ms = run->m_progress.ExpectedEndVmMs();
     const std::int64_t run_wait_ms =
         end_ms ? *end_ms - vm_now_ms + kOverdueEndMs : kUnmeasuredPollWaitMs;
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -301,6 +301,24 @@
   EXPECT_EQ(m_core.State().FindListedVm("vm-0"), nullptr);
 }
 
+// Fails if a run that was planned before a restart of its VM, and is not there,
+// keeps its task waiting for a whole long poll.
+TEST_F(VmPollerTest, CarriedOverRunIsLookedForSoon) {
+  AnswerFirstPoll();
+  Run(200);
+  StartOneRun();
+  Run(20);
+  VmReport report;
+  report.m_vm = {"vm-0", 2};
+  report.m_vm_ms = 10;
+  m_vms.m_calls.back().m_done(report);
+  Run(200);
+  const PollRequest& next = m_vms.m_calls.back().m_order;
+  EXPECT_EQ(next.m_vm, report.m_vm);
+  EXPECT_GT(next.m_wait_ms, 0);
+  EXPECT_LE(next.m_wait_ms, 200);
+}
+
 // Fails if a VM that gets a run is not long-polled at once: its lease would end
 // with the deadline of the start.
 TEST_F(VmPollerTest, VmWithARunIsLongPolledAtOnce) {
