--- a/Source/Core/cell/cell_core_incarnations_test.cc
+++ b/Source/Core/cell/cell_core_incarnations_test.cc
@@ -12,16 +12,25 @@
 namespace mustardslip {
 namespace {
 
+class CellCoreIncarnationsTest : public CellCoreTest {
+ protected:
+  // Both VMs have restarted, which the owner does not know, when job 1 starts.
+  void StartOnARestartedVm() {
+    AddVms(2);
+    m_cell.Restart("vm-0", 2);
+    m_cell.Restart("vm-1", 2);
+    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+    m_cell.Pump();
+    ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  }
+};
+
 // Fails if the runs of an incarnation are closed as soon as a newer one is
 // listed: a start that was sent after the restart had reached the new one, and
 // the task ran a second time elsewhere beside it (TWICE, review/2).
-TEST_F(CellCoreTest, RunThatReachedTheNextIncarnationIsNotRepeated) {
-  AddVms(2);
-  m_cell.Restart("vm-0", 2);
-  m_cell.Restart("vm-1", 2);
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
-  m_cell.Pump();
-  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+TEST_F(CellCoreIncarnationsTest,
+       RunThatReachedTheNextIncarnationIsNotRepeated) {
+  ASSERT_NO_FATAL_FAILURE(StartOnARestartedVm());
   m_cell.List("vm-0");
   m_cell.List("vm-1");
   m_cell.Pump();
@@ -36,13 +45,8 @@
 // Fails if the restart of a VM whose entry is away is taken for silence: its
 // poll was answered by the new incarnation, and after the lease of the old one
 // the run there was started a second time elsewhere.
-TEST_F(CellCoreTest, RestartOfAnUnlistedVmIsKnownFromItsOwnAnswer) {
-  AddVms(2);
-  m_cell.Restart("vm-0", 2);
-  m_cell.Restart("vm-1", 2);
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
-  m_cell.Pump();
-  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+TEST_F(CellCoreIncarnationsTest, RestartOfAnUnlistedVmIsKnownFromItsOwnAnswer) {
+  ASSERT_NO_FATAL_FAILURE(StartOnARestartedVm());
   m_cell.AddVm("vm-2", kVmCapacity);
   m_cell.Run(2 * kVmLeaseMs);
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
@@ -51,7 +55,7 @@
 
 // Fails if a start that was not answered by an earlier incarnation may still
 // arrive at the next one after the task was started elsewhere.
-TEST_F(CellCoreTest, LateStartDoesNotBeginOnTheNextIncarnation) {
+TEST_F(CellCoreIncarnationsTest, LateStartDoesNotBeginOnTheNextIncarnation) {
   AddVms(1);
   m_cell.Vm("vm-0").m_delays_starts = true;
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
@@ -71,12 +75,8 @@
 
 // Fails if a new owner takes a run for lost because the VM on which it was
 // planned has restarted since: the start may have reached the new incarnation.
-TEST_F(CellCoreTest, NewOwnerFindsTheRunOnTheNextIncarnation) {
-  AddVms(2);
-  m_cell.Restart("vm-0", 2);
-  m_cell.Restart("vm-1", 2);
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
-  m_cell.Pump();
+TEST_F(CellCoreIncarnationsTest, NewOwnerFindsTheRunOnTheNextIncarnation) {
+  ASSERT_NO_FATAL_FAILURE(StartOnARestartedVm());
   m_cell.TakeOver();
   m_cell.Run(1'000);
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
@@ -88,7 +88,8 @@
 
 // Fails if a run is started elsewhere while it may be on a newer incarnation
 // that is listed and cannot be reached.
-TEST_F(CellCoreTest, RunOnAnUnreachableNewIncarnationIsNotRepeated) {
+TEST_F(CellCoreIncarnationsTest,
+       RunOnAnUnreachableNewIncarnationIsNotRepeated) {
   AddVms(1);
   m_cell.Restart("vm-0", 2);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
@@ -105,7 +106,7 @@
 
 // Fails if another writer's entry under the id of a live VM ends the runs of
 // that VM: what a VM says of itself goes before the list.
-TEST_F(CellCoreTest, FalseEntryDoesNotEndTheRunsOfALiveVm) {
+TEST_F(CellCoreIncarnationsTest, FalseEntryDoesNotEndTheRunsOfALiveVm) {
   AddVms(2);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, 60'000)}));
   m_cell.Run(200);
@@ -129,7 +130,7 @@
 // the VM's entry was away until the owner had dropped its number of the last
 // end, and a job that may fail twice was shown as failed after one failure
 // (LOST, review/3).
-TEST_F(CellCoreTest, FailureIsCountedOnceAfterTheEntryWasAway) {
+TEST_F(CellCoreIncarnationsTest, FailureIsCountedOnceAfterTheEntryWasAway) {
   AddVms(1);
   QueueRules queue = m_cell.Queue();
   queue.m_max_attempts = 2;
@@ -157,7 +158,7 @@
 
 // Fails if the ends of a VM are never acknowledged because its entry is away:
 // the owner still reaches the VM, which lists them until then.
-TEST_F(CellCoreTest, EndsOfAnUnlistedVmAreAcknowledged) {
+TEST_F(CellCoreIncarnationsTest, EndsOfAnUnlistedVmAreAcknowledged) {
   AddVms(1);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
   m_cell.Run(200);
@@ -171,7 +172,7 @@
 
 // Fails if a new owner counts a failure again that the log or its snapshot
 // holds, because the VM was not listed when the owner began.
-TEST_F(CellCoreTest, NewOwnerCountsAFailureOnce) {
+TEST_F(CellCoreIncarnationsTest, NewOwnerCountsAFailureOnce) {
   for (const bool from_snapshot : {false, true}) {
     m_cell = CellHarness();
     AddVms(1);
@@ -203,7 +204,7 @@
 
 // Fails if a late failure of an earlier run of a gang is not counted because a
 // newer run failed first: the gang got more attempts than its queue allows.
-TEST_F(CellCoreTest, LateFailureOfAnEarlierGangRunCounts) {
+TEST_F(CellCoreIncarnationsTest, LateFailureOfAnEarlierGangRunCounts) {
   ASSERT_NO_FATAL_FAILURE(StartGangThatFailedOnce(40'000));
   const VmIncarnation vm = m_cell.m_starts.back().m_vm;
   const auto failed = [&](std::uint32_t run) {
@@ -221,7 +222,7 @@
 
 // Fails if an end that is reported again replaces the checkpoint of a newer
 // run: work that was saved was done again.
-TEST_F(CellCoreTest, RepeatedEndKeepsTheNewerCheckpoint) {
+TEST_F(CellCoreIncarnationsTest, RepeatedEndKeepsTheNewerCheckpoint) {
   AddVms(1);
   StepSpec step = CellHarness::Step(1, 1'000);
   step.m_checkpoint = true;
@@ -247,7 +248,7 @@
 
 // Fails if the core keeps waiting for the runs of an earlier incarnation of a
 // VM.
-TEST_F(CellCoreTest, NewIncarnationOfVmEndsTheRunsOfTheOldOne) {
+TEST_F(CellCoreIncarnationsTest, NewIncarnationOfVmEndsTheRunsOfTheOldOne) {
   AddVms(1);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
   m_cell.Pump();
@@ -260,7 +261,7 @@
 // Fails if a job stops counting as waiting because its run was lost: its start
 // had gone to a VM that was lost for good, no task had begun, and `pending` was
 // 0 for as long as the job waited (MIXED, review/5).
-TEST_F(CellCoreTest, JobWhoseStartWasLostCountsAsWaiting) {
+TEST_F(CellCoreIncarnationsTest, JobWhoseStartWasLostCountsAsWaiting) {
   AddVms(1);
   m_cell.Vm("vm-0").m_reachable = false;
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
@@ -282,7 +283,7 @@
 
 // Fails if a job counts as waiting, or no longer does, because a start was
 // refused or the owner changed.
-TEST_F(CellCoreTest, NewOwnerKnowsWhichJobsHaveBegun) {
+TEST_F(CellCoreIncarnationsTest, NewOwnerKnowsWhichJobsHaveBegun) {
   AddVms(1);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
   m_cell.Run(100);
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -124,6 +124,14 @@
     ASSERT_EQ(m_vms.m_calls.size(), 2U);
   }
 
+  // The VM has restarted, and nothing runs there.
+  static VmReport ReportOfNextIncarnation() {
+    VmReport report;
+    report.m_vm = {"vm-0", 2};
+    report.m_vm_ms = 10;
+    return report;
+  }
+
   static constexpr std::size_t kMaxLongPolls = 2'000;
 
   RecordingVms m_vms;
@@ -284,13 +292,8 @@
 // Fails if a poll that another incarnation answered counts for the one that was
 // asked, or the one that answered is not polled from then on.
 TEST_F(VmPollerTest, AnswerOfAnotherIncarnationIsItsOwn) {
-  AnswerFirstPoll();
-  Run(200);
-  StartOneRun();
-  Run(20);
-  VmReport report;
-  report.m_vm = {"vm-0", 2};
-  report.m_vm_ms = 10;
+  OpenLongPoll();
+  VmReport report = ReportOfNextIncarnation();
   report.m_running = {{m_task, 1, "", 5}};
   m_vms.m_calls.back().m_done(report);
   const std::size_t before = m_vms.m_calls.size();
@@ -304,13 +307,8 @@
 // Fails if a run that was planned before a restart of its VM, and is not there,
 // keeps its task waiting for a whole long poll.
 TEST_F(VmPollerTest, CarriedOverRunIsLookedForSoon) {
-  AnswerFirstPoll();
-  Run(200);
-  StartOneRun();
-  Run(20);
-  VmReport report;
-  report.m_vm = {"vm-0", 2};
-  report.m_vm_ms = 10;
+  OpenLongPoll();
+  const VmReport report = ReportOfNextIncarnation();
   m_vms.m_calls.back().m_done(report);
   Run(200);
   const PollRequest& next = m_vms.m_calls.back().m_order;
