Log why a job became failed

Change: once the failure is durable, the owner logs job_failed with the step, the failed runs, their number, max_attempts, the configuration in force and the owner's fence. log_loaded names the configuration that the new owner has.

No change of behaviour.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -171,11 +171,16 @@
                         const VmIncarnation& vm, RunEnd end,
                         std::string checkpoint, std::uint64_t sequence,
                         const CellTime& now) {
+  const Job* job = m_state.FindJob(task.m_job);
+  const bool was_failed = job != nullptr && job->m_failed;
   Append(RunEnded{task, run, end, std::move(checkpoint), vm, sequence,
                   now.m_unix_ms});
   if (sequence > 0) {
     Defer(ReleaseEnds{vm, sequence});
   }
+  if (job != nullptr && job->m_failed && !was_failed) {
+    ReportFailure(*job, task);
+  }
   ++m_counters.m_ends[end];
   AfterEnd(task, run, end, vm, now);
 }
@@ -199,6 +204,12 @@
   }
 }
 
+void CellCore::ReportFailure(const Job& job, const TaskRef& task) {
+  const FailedRuns& failures = m_state.FailuresOf(task);
+  Defer(JobFailure{task, failures.Runs(), failures.Count(),
+                   job.m_spec.m_queue.m_max_attempts, m_rules.m_version});
+}
+
 // A gang runs only as a whole: stops all members of this and earlier runs.
 void CellCore::StopGangRun(const TaskRef& task, std::uint32_t run,
                            const CellTime& now) {
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -124,6 +124,8 @@
   CellState& State() { return m_state; }
   const CellState& State() const { return m_state; }
   const CellCounters& Counters() const { return m_counters; }
+  // Version of the configuration in force; 0 before the first one.
+  std::int64_t RulesVersion() const { return m_rules.m_version; }
   const ReadySteps& Ready() const { return m_ready; }
 
  private:
@@ -150,7 +152,7 @@
     ReplyToCaller m_reply;
   };
   using DeferredEffect = std::variant<PlannedStart, PublishPhase, ReleaseEnds,
-                                      StopJob, DeferredReply>;
+                                      StopJob, DeferredReply, JobFailure>;
 
   struct Batch {
     std::vector<LogRecord> m_records;
@@ -177,6 +179,8 @@
                 const CellTime& now);
   void AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
                 const VmIncarnation& vm, const CellTime& now);
+  // Reports that the job of the task failed by it.
+  void ReportFailure(const Job& job, const TaskRef& task);
   static void UpdateVmHealth(VmState& vm, Job& job, RunEnd end,
                              const CellTime& now);
   void StopRuns(Job& job, const CellTime& now);
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -221,6 +221,24 @@
   EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
 }
 
+// Fails if the owner does not tell which runs made a job fail, and by which
+// limit of which configuration.
+TEST_F(CellCoreTest, FailureNamesItsRunsAndItsLimit) {
+  CellRules rules;
+  rules.m_version = 7;
+  rules.m_queues = {m_cell.Queue()};
+  m_cell.Core().OnRules(rules);
+  AddVms(4);
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
+  for (int i = 0; i < 5; ++i) {
+    m_cell.Run(200);
+    m_cell.End(1, RunEnd::kFailed);
+  }
+  m_cell.Run(200);
+  const JobFailure expected{{CellHarness::Id(1), 0, 0, 0}, {1, 2, 3}, 3, 3, 7};
+  EXPECT_EQ(m_cell.m_failures, std::vector<JobFailure>{expected});
+}
+
 // Fails if members of a gang continue after one has failed, or if the gang
 // restarts while a member of the aborted run may still be running.
 TEST_F(CellCoreTest, GangRestartsOnlyAfterAllMembersEnded) {
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -310,6 +310,7 @@
   // All start orders in the order of their execution.
   std::vector<StartRun> m_starts;
   std::vector<StopRun> m_stops;
+  std::vector<JobFailure> m_failures;
   std::vector<AdviceRequest> m_asked;
   bool m_store_up = true;
   // Which VMs the advice service allows.
@@ -333,6 +334,8 @@
     m_answers[reply.m_token] = reply.m_answer;
   }
 
+  void Execute(const JobFailure& failure) { m_failures.push_back(failure); }
+
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
     SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -182,6 +182,7 @@
         {{"segments", loaded.m_segments},
          {"records", loaded.m_records.size()},
          {"jobs", m_core.State().Jobs().size()},
+         {"configuration", m_core.RulesVersion()},
          {"took_ms", m_loop.Now().m_steady_ms - m_started_ms}});
     m_vm_feed.Start();
   }
@@ -376,6 +377,10 @@
     }));
   }
 
+  void Execute(JobFailure& failure) {
+    LogJobFailure(failure, m_owner.m_revision);
+  }
+
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
     if (found == m_pending_requests.end()) {
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -111,6 +111,11 @@
   return nullptr;
 }
 
+const FailedRuns& CellState::FailuresOf(const TaskRef& task) {
+  const StepSpec& spec = FindJob(task.m_job)->m_spec.m_steps[task.m_step];
+  return FailuresOf(spec, *FindStep(task), *FindTask(task));
+}
+
 std::optional<CellState::TaskContext> CellState::ResolveTask(
     const TaskRef& task) {
   Job* job = FindJob(task.m_job);
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -51,6 +51,9 @@
   TaskState* FindTask(const TaskRef& task);
   StepState* FindStep(const TaskRef& task);
   OpenRun* FindRun(const TaskRef& task, std::uint32_t number);
+  // The failures that count against the queue's attempts of the task, or of its
+  // gang. Requires that the task exists.
+  const FailedRuns& FailuresOf(const TaskRef& task);
 
   // Drops jobs that ended before `unix_ms` and have no open runs.
   void DropJobsEndedBefore(std::int64_t unix_ms);
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -150,7 +150,23 @@
   CellAnswer m_answer;
 };
 
-using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller>;
+// A job became failed and the record of it is durable. For the operator's log.
+struct JobFailure {
+  // The task that reached the limit; for a gang the index is not significant.
+  TaskRef m_task;
+  // Its failed runs, in ascending order.
+  std::vector<std::uint32_t> m_runs;
+  // At least the number of m_runs; more if some are known by number only.
+  std::uint32_t m_failures = 0;
+  std::int64_t m_max_attempts = 0;
+  // Version of the configuration in force at the owner; 0 if it has none.
+  std::int64_t m_configuration = 0;
+
+  bool operator==(const JobFailure&) const = default;
+};
+
+using Effect =
+    std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller, JobFailure>;
 
 // --- Events ---
 
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -14,15 +14,17 @@
 // Limits the length of a line; further runs are only counted.
 constexpr std::size_t kMaxRunsListed = 40;
 
-// Collects the planned or ended runs of one step for one line.
+// Collects runs of one step for one line.
 struct RunList {
   std::size_t m_count = 0;
   std::string m_text;
 
   void Add(const TaskRef& task, std::uint32_t run, const std::string& vm) {
+    Add(fmt::format("{}#{}@{}", task.m_index, run, vm));
+  }
+  void Add(const std::string& entry) {
     if (++m_count <= kMaxRunsListed) {
-      m_text += fmt::format("{}{}#{}@{}", m_text.empty() ? "" : " ",
-                            task.m_index, run, vm);
+      m_text += (m_text.empty() ? "" : " ") + entry;
     }
   }
 };
@@ -72,6 +74,22 @@
   }
 }
 
+void LogJobFailure(const JobFailure& failure, std::int64_t fence) {
+  const TaskRef& task = failure.m_task;
+  RunList runs;
+  for (const std::uint32_t run : failure.m_runs) {
+    runs.Add(fmt::format("{}#{}", task.m_index, run));
+  }
+  Log(LogLevel::kInfo, LogCategory::kCell, "job_failed",
+      {{"job", task.m_job},
+       {"step", ToString(StepOf(task))},
+       {"runs", runs.m_text},
+       {"failures", failure.m_failures},
+       {"max_attempts", failure.m_max_attempts},
+       {"configuration", failure.m_configuration},
+       {"fence", fence}});
+}
+
 void LogAdvice(const AdviceAnswer& answer) {
   std::string good;
   for (const AdviceAnswer::Row& row : answer.m_good) {
