Failing tests: the limit of attempts after a change of configuration and owner

A job is shown as failed with attempts left (raised limit, next owner; daemon with an older configuration), started once more than the configuration in force allows (lowered limit, next owner), and runs again after callers were told that it had failed.

--- /dev/null
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -0,0 +1,103 @@
+// Tests of which limit of attempts decides that a job has failed: the one in
+// force at the owner, whichever configuration the job was accepted with.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "cell/cell_core_fixture.h"
+
+namespace mustardslip {
+namespace {
+
+class CellCoreAttemptsTest : public CellCoreTest {
+ protected:
+  QueueRules QueueWithAttempts(std::int64_t max_attempts) const {
+    QueueRules queue = m_cell.Queue();
+    queue.m_max_attempts = max_attempts;
+    return queue;
+  }
+
+  void Configure(std::int64_t version, std::int64_t max_attempts) {
+    m_cell.Configure(version, {QueueWithAttempts(max_attempts)});
+  }
+
+  // Submits job 1, a single task.
+  void SubmitWithAttempts(std::int64_t max_attempts) {
+    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)},
+                             QueueWithAttempts(max_attempts)));
+    m_cell.Run(200);
+  }
+
+  // Fails the open run of job 1 and lets the next one start.
+  void FailRun() {
+    m_cell.End(1, RunEnd::kFailed);
+    m_cell.Run(200);
+  }
+};
+
+// Fails if a new owner judges a job's failures by the limit with which it was
+// accepted: the job would be shown as failed although it has attempts left.
+TEST_F(CellCoreAttemptsTest, RaisedLimitHoldsAtTheNextOwner) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  Configure(2, 4);
+  FailRun();
+  FailRun();
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+}
+
+// Fails if a new owner starts a task more often than the configuration in force
+// allows, because the job was accepted with a higher limit.
+TEST_F(CellCoreAttemptsTest, LoweredLimitHoldsAtTheNextOwner) {
+  AddVms(4);
+  Configure(1, 4);
+  SubmitWithAttempts(4);
+  Configure(2, 2);
+  FailRun();
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a job that callers have seen as failed runs again at a new owner.
+TEST_F(CellCoreAttemptsTest, FailedJobStaysFailedAtTheNextOwner) {
+  AddVms(4);
+  Configure(1, 4);
+  SubmitWithAttempts(4);
+  Configure(2, 2);
+  FailRun();
+  FailRun();
+  ASSERT_EQ(PhaseOf(1), JobPhase::kFailed);
+  Configure(3, 4);
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  TakeOverFromSnapshot();
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a job that a daemon with an older configuration handed in is shown
+// as failed by the limit of that configuration.
+TEST_F(CellCoreAttemptsTest, JobFromAnOlderConfigurationGetsTheLimitInForce) {
+  AddVms(4);
+  Configure(2, 3);
+  SubmitWithAttempts(1);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+}
+
+}  // namespace
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -224,10 +224,7 @@
 // Fails if the owner does not tell which runs made a job fail, and by which
 // limit of which configuration.
 TEST_F(CellCoreTest, FailureNamesItsRunsAndItsLimit) {
-  CellRules rules;
-  rules.m_version = 7;
-  rules.m_queues = {m_cell.Queue()};
-  m_cell.Core().OnRules(rules);
+  m_cell.Configure(7, {m_cell.Queue()});
   AddVms(4);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
   for (int i = 0; i < 5; ++i) {
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -264,9 +264,18 @@
     m_log.insert(m_log.end(), records.begin(), records.end());
   }
 
+  // This configuration, with these queues, is in force from now on, also for
+  // later owners.
+  void Configure(std::int64_t version, std::vector<QueueRules> queues) {
+    m_rules.m_version = version;
+    m_rules.m_queues = std::move(queues);
+    m_core->OnRules(m_rules);
+  }
+
   // Replaces the core by a new owner that recovers from the stored log.
   void TakeOver() {
     m_core = std::make_unique<CellCore>(CellBounds{});
+    m_core->OnRules(m_rules);
     for (const LogRecord& record : m_log) {
       m_core->Replay(record);
     }
@@ -394,6 +403,7 @@
   }
 
   std::unique_ptr<CellCore> m_core;
+  CellRules m_rules;
   std::int64_t m_now_ms = 1'000;
   std::uint64_t m_token = 0;
   std::map<std::uint64_t, CellAnswer> m_answers;
