That a job has failed is a decision in the log, by the limit in force

The class: a replayed state that depends on something outside the log.

Change: CellState only counts. A new owner applies its configuration to the jobs it has loaded. A lowered limit also ends jobs whose task waits for another run. A log of an earlier version, without such records, is judged once at the takeover.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -1,12 +1,11 @@
-// CellCore: requests of callers, timer ticks and ends of runs. VM reports are
+// CellCore: requests of callers, timer ticks and ends of runs. The
+// configuration's rules are applied in cell_core_rules.cc, VM reports are
 // handled in cell_core_vms.cc, log batches in cell_core_log.cc.
 #include "cell/cell_core.h"
 
 #include <fmt/core.h>
 
 #include <algorithm>
-#include <string_view>
-#include <unordered_map>
 
 namespace mustardslip {
 namespace {
@@ -36,33 +35,14 @@
   for (auto& [life, vm] : m_state.Vms()) {
     vm.m_durable_end = vm.m_last_end;
   }
+  std::vector<std::string> active;
   for (const auto& [id, job] : m_state.ActiveJobs()) {
+    active.push_back(id);
+    ApplyRules(job->m_spec);
     ReleaseOccurrences(*job, now);
     m_ready.Refresh(*job);
   }
-}
-
-void CellCore::OnRules(CellRules rules) {
-  if (rules.m_version < m_rules.m_version) {
-    return;
-  }
-  m_rules = std::move(rules);
-  std::unordered_map<std::string_view, const QueueRules*> queues;
-  for (const QueueRules& queue : m_rules.m_queues) {
-    queues[queue.m_name] = &queue;
-  }
-  for (const auto& [id, job] : m_state.ActiveJobs()) {
-    const auto found = queues.find(job->m_spec.m_queue.m_name);
-    // Jobs of a removed queue keep the queue's last rules. A job stays in the
-    // pool (service) that it was accepted for.
-    if (found != queues.end() &&
-        found->second->m_service == job->m_spec.m_queue.m_service &&
-        *found->second != job->m_spec.m_queue) {
-      job->m_spec.m_queue = *found->second;
-      m_ready.Reorder(*job);
-    }
-  }
-  m_dirty = true;
+  FailJobsWithoutAttempts(active, now);
 }
 
 // --- Callers ---
@@ -171,16 +151,12 @@
                         const VmIncarnation& vm, RunEnd end,
                         std::string checkpoint, std::uint64_t sequence,
                         const CellTime& now) {
-  const Job* job = m_state.FindJob(task.m_job);
-  const bool was_failed = job != nullptr && job->m_failed;
   Append(RunEnded{task, run, end, std::move(checkpoint), vm, sequence,
                   now.m_unix_ms});
   if (sequence > 0) {
     Defer(ReleaseEnds{vm, sequence});
   }
-  if (job != nullptr && job->m_failed && !was_failed) {
-    ReportFailure(*job, task);
-  }
+  FailIfNoAttemptIsLeft(task, now);
   ++m_counters.m_ends[end];
   AfterEnd(task, run, end, vm, now);
 }
@@ -204,12 +180,6 @@
   }
 }
 
-void CellCore::ReportFailure(const Job& job, const TaskRef& task) {
-  const FailedRuns& failures = m_state.FailuresOf(task);
-  Defer(JobFailure{task, failures.Runs(), failures.Count(),
-                   job.m_spec.m_queue.m_max_attempts, m_rules.m_version});
-}
-
 // A gang runs only as a whole: stops all members of this and earlier runs.
 void CellCore::StopGangRun(const TaskRef& task, std::uint32_t run,
                            const CellTime& now) {
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -59,7 +60,7 @@
   void OnRecovered(const CellTime& now);
 
   // --- Configuration and VMs ---
-  void OnRules(CellRules rules);
+  void OnRules(CellRules rules, const CellTime& now);
   void OnVmListed(const VmDescription& vm, const CellTime& now);
   void OnVmUnlisted(const std::string& id, const CellTime& now);
 
@@ -179,8 +180,10 @@
                 const CellTime& now);
   void AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
                 const VmIncarnation& vm, const CellTime& now);
-  // Reports that the job of the task failed by it.
-  void ReportFailure(const Job& job, const TaskRef& task);
+  bool ApplyRules(WorkflowSpec& spec) const;
+  void FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now);
+  void FailJobsWithoutAttempts(const std::vector<std::string>& jobs,
+                               const CellTime& now);
   static void UpdateVmHealth(VmState& vm, Job& job, RunEnd end,
                              const CellTime& now);
   void StopRuns(Job& job, const CellTime& now);
@@ -214,6 +217,8 @@
   CellBounds m_bounds;
   CellState m_state;
   CellRules m_rules;
+  // Positions in m_rules.m_queues, by name.
+  std::unordered_map<std::string, std::size_t> m_queue_index;
   Scheduler m_scheduler;
   TeamRateLimiter m_team_rate_limiter;
   ReadySteps m_ready;
--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -88,6 +88,42 @@
   EXPECT_EQ(m_cell.m_starts.size(), 2U);
 }
 
+// Fails if a waiting task is started once more after the limit was lowered.
+TEST_F(CellCoreAttemptsTest, LoweredLimitEndsAJobThatWaitsForItsNextRun) {
+  AddVms(1);
+  Configure(1, 4);
+  SubmitWithAttempts(4);
+  FailRun();
+  m_cell.Vm("vm-0").m_reachable = false;
+  m_cell.Look();
+  m_cell.End(1, RunEnd::kFailed);
+  m_cell.Run(200);
+  m_cell.Vm("vm-0").m_reachable = true;
+  m_cell.Look();
+  Configure(2, 2);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
+// Fails if a job runs again whose failure an earlier version left to be
+// concluded from the ends in the log.
+TEST_F(CellCoreAttemptsTest, FailureInALogOfAnEarlierVersionIsKept) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  FailRun();
+  FailRun();
+  std::erase_if(m_cell.m_log, [](const LogRecord& record) {
+    const auto* progress = std::get_if<JobProgress>(&record);
+    return progress != nullptr && progress->m_failed;
+  });
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+}
+
 // Fails if a job that a daemon with an older configuration handed in is shown
 // as failed by the limit of that configuration.
 TEST_F(CellCoreAttemptsTest, JobFromAnOlderConfigurationGetsTheLimitInForce) {
--- a/Source/Core/cell/cell_core_incarnations_test.cc
+++ b/Source/Core/cell/cell_core_incarnations_test.cc
@@ -206,18 +206,18 @@
 // newer run failed first: the gang got more attempts than its queue allows.
 TEST_F(CellCoreIncarnationsTest, LateFailureOfAnEarlierGangRunCounts) {
   ASSERT_NO_FATAL_FAILURE(StartGangThatFailedOnce(40'000));
-  const VmIncarnation vm = m_cell.m_starts.back().m_vm;
-  const auto failed = [&](std::uint32_t run) {
-    return RunEnded{
-        {CellHarness::Id(1), 0, 0, 0}, run, RunEnd::kFailed, "", vm, 0, 0};
+  const TaskRef task{CellHarness::Id(1), 0, 0, 0};
+  SimulatedVm& vm = m_cell.Vm(m_cell.m_starts.back().m_vm.m_id);
+  const auto report_failure = [&](std::uint32_t run) {
+    CellHarness::EndRun(vm, {task, run}, RunEnd::kFailed);
+    m_cell.Look(vm);
   };
   CellState& state = m_cell.Core().State();
-  state.Apply(failed(5));
-  EXPECT_EQ(
-      state.FindStep({CellHarness::Id(1), 0, 0, 0})->m_gang_failures.Count(),
-      2U);
-  state.Apply(failed(4));
-  EXPECT_TRUE(state.FindJob(CellHarness::Id(1))->m_failed);
+  report_failure(5);
+  EXPECT_EQ(state.FindStep(task)->m_gang_failures.Count(), 2U);
+  EXPECT_FALSE(state.FindJob(task.m_job)->m_failed);
+  report_failure(4);
+  EXPECT_TRUE(state.FindJob(task.m_job)->m_failed);
 }
 
 // Fails if an end that is reported again replaces the checkpoint of a newer
--- /dev/null
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -0,0 +1,86 @@
+// CellCore: applies the rules of the configuration to the jobs, and decides
+// when a job has failed by them.
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/cell_core.h"
+
+namespace mustardslip {
+
+void CellCore::OnRules(CellRules rules, const CellTime& now) {
+  if (rules.m_version < m_rules.m_version) {
+    return;
+  }
+  m_rules = std::move(rules);
+  m_queue_index.clear();
+  for (std::size_t i = 0; i < m_rules.m_queues.size(); ++i) {
+    m_queue_index[m_rules.m_queues[i].m_name] = i;
+  }
+  std::vector<std::string> changed;
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    if (ApplyRules(job->m_spec)) {
+      m_ready.Reorder(*job);
+      changed.push_back(id);
+    }
+  }
+  FailJobsWithoutAttempts(changed, now);
+  m_dirty = true;
+}
+
+// Returns true if the rules of the job's queue have changed. Jobs of a removed
+// queue keep the queue's last rules. A job stays in the pool (service) that it
+// was accepted for.
+bool CellCore::ApplyRules(WorkflowSpec& spec) const {
+  const auto found = m_queue_index.find(spec.m_queue.m_name);
+  if (found == m_queue_index.end()) {
+    return false;
+  }
+  const QueueRules& rules = m_rules.m_queues[found->second];
+  if (rules.m_service != spec.m_queue.m_service || rules == spec.m_queue) {
+    return false;
+  }
+  spec.m_queue = rules;
+  return true;
+}
+
+// Logged as a decision of its own: a later owner, whose rules may differ, must
+// not take it again.
+void CellCore::FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now) {
+  const Job* job = m_state.FindJob(ref.m_job);
+  const TaskState* task = m_state.FindTask(ref);
+  if (job == nullptr || task == nullptr || job->Ended() || task->m_done) {
+    return;
+  }
+  const FailedRuns& failures = m_state.FailuresOf(ref);
+  const std::int64_t max_attempts = job->m_spec.m_queue.m_max_attempts;
+  if (failures.Count() == 0 || failures.Count() < max_attempts) {
+    return;
+  }
+  Append(JobProgress{ref.m_job, now.m_unix_ms, true, true, job->m_confirmed});
+  Defer(JobFailure{ref, failures.Runs(), failures.Count(), max_attempts,
+                   m_rules.m_version});
+  Defer(StopJob{ref.m_job});
+}
+
+// Fails those of the jobs in which a task that waits for its next run has no
+// attempt left.
+void CellCore::FailJobsWithoutAttempts(const std::vector<std::string>& jobs,
+                                       const CellTime& now) {
+  for (const std::string& id : jobs) {
+    const Job& job = *m_state.FindJob(id);
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        const StepState& step = occurrence.m_steps[s];
+        const bool gang_runs = job.m_spec.m_steps[s].m_gang && step.m_open > 0;
+        for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
+          if (!gang_runs && step.m_tasks[t].m_open.empty()) {
+            FailIfNoAttemptIsLeft({id, number, s, t}, now);
+          }
+        }
+      }
+    }
+  }
+}
+
+}  // namespace mustardslip
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -169,7 +169,7 @@
   CellRules rules;
   rules.m_version = 1;
   rules.m_teams["team"].m_cap = {40'000, 0, 0};
-  m_cell.Core().OnRules(rules);
+  m_cell.Core().OnRules(rules, m_cell.Now());
   AddVms(4);
   m_cell.Submit(
       m_cell.Job(1, {CellHarness::Step(9, 10'000)}, m_cell.Queue(), "team"));
@@ -312,7 +312,7 @@
   CellRules rules;
   rules.m_version = 1;
   rules.m_teams["team"].m_cap = {40'000, 0, 0};
-  m_cell.Core().OnRules(rules);
+  m_cell.Core().OnRules(rules, m_cell.Now());
   AddVms(4);
   QueueRules queue = m_cell.Queue();
   queue.m_needs_advice = true;
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -269,13 +269,13 @@
   void Configure(std::int64_t version, std::vector<QueueRules> queues) {
     m_rules.m_version = version;
     m_rules.m_queues = std::move(queues);
-    m_core->OnRules(m_rules);
+    m_core->OnRules(m_rules, Now());
   }
 
   // Replaces the core by a new owner that recovers from the stored log.
   void TakeOver() {
     m_core = std::make_unique<CellCore>(CellBounds{});
-    m_core->OnRules(m_rules);
+    m_core->OnRules(m_rules, Now());
     for (const LogRecord& record : m_log) {
       m_core->Replay(record);
     }
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -95,7 +95,7 @@
   bool Ready() const { return m_ready; }
 
   void OnRules(const CellRules& rules) {
-    m_core.OnRules(rules);
+    m_core.OnRules(rules, m_loop.Now());
     SchedulePump();
   }
 
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -245,7 +245,7 @@
       }
     }
   } else if (record.m_end == RunEnd::kFailed && !task.m_done) {
-    CountFailure(job, step, task, record);
+    CountFailure(spec, step, task, record);
   }
 }
 
@@ -266,17 +266,10 @@
   return spec.m_gang ? step.m_gang_failures : task.m_failures;
 }
 
-void CellState::CountFailure(Job& job, StepState& step, TaskState& task,
-                             const RunEnded& record) {
-  const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
-  FailedRuns& failures = FailuresOf(spec, step, task);
-  if (!failures.Add(record.m_run)) {
-    return;
-  }
-  task.m_last_failed_vm = record.m_vm.m_id;
-  if (failures.Count() >= job.m_spec.m_queue.m_max_attempts) {
-    job.m_failed = true;
-    job.m_ended_unix_ms = record.m_unix_ms;
+void CellState::CountFailure(const StepSpec& spec, StepState& step,
+                             TaskState& task, const RunEnded& record) {
+  if (FailuresOf(spec, step, task).Add(record.m_run)) {
+    task.m_last_failed_vm = record.m_vm.m_id;
   }
 }
 
@@ -322,6 +315,7 @@
   } else if (record.m_ended_unix_ms != 0 && !job->m_cancelled) {
     job->m_complete = true;
   }
+  m_changed.push_back(record.m_job);
   UpdateActive(record.m_job, *job);
 }
 
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -2,7 +2,8 @@
 //
 // A new owner replays the log into an empty CellState; the running owner
 // applies each record as it appends it. Both use Apply() and therefore reach
-// the same state.
+// the same state, whatever configuration each of them has: decisions that
+// depend on the configuration are records of their own.
 #pragma once
 
 #include <cstdint>
@@ -104,8 +105,8 @@
                                 TaskState& task);
   static void MarkDone(Occurrence& occurrence, StepState& step,
                        TaskState& task);
-  void CountFailure(Job& job, StepState& step, TaskState& task,
-                    const RunEnded& record);
+  static void CountFailure(const StepSpec& spec, StepState& step,
+                           TaskState& task, const RunEnded& record);
   void UpdateActive(const std::string& id, Job& job);
 
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -97,8 +97,8 @@
   bool operator==(const VmSnapshot&) const = default;
 };
 
-// A job's progress: in snapshots, and once when a VM first confirmed a run of a
-// job that has not ended.
+// A job's progress: in snapshots, when the owner decides that the job has
+// failed, and once when a VM first confirmed a run of a job that has not ended.
 struct JobProgress {
   std::string m_job;
   std::int64_t m_ended_unix_ms = 0;
--- a/Source/Core/cell/scheduler_load_test.cc
+++ b/Source/Core/cell/scheduler_load_test.cc
@@ -167,7 +167,7 @@
   rules.m_version = 1;
   rules.m_teams["hot"].m_weight = 1;
   rules.m_teams["other"].m_weight = 100;
-  m_cell.Core().OnRules(rules);
+  m_cell.Core().OnRules(rules, m_cell.Now());
   QueueRules batch = m_cell.Queue("batch");
   batch.m_priority = 2;
   const QueueRules urgent = m_cell.Queue();
--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -258,6 +258,7 @@
     m_advice.emplace_back(m_now_ms + kAdviceMs, request);
   }
   void Execute(const ReplyToCaller&) {}
+  void Execute(const JobFailure&) {}
 
   CellCore m_core;
   std::int64_t m_now_ms = 1'000;
