--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -67,6 +67,8 @@
     Refuse(token, "too_many_jobs", kRetryWhenFullMs);
     return;
   }
+  // The daemon that took the request may have an older configuration.
+  ApplyRules(spec);
   const std::string id = spec.m_id;
   const std::string team = spec.m_team;
   Append(JobAccepted{std::move(spec), now.m_unix_ms});
