An owner that has not read the configuration starts nothing and fails no job

Cause: the core took the absence of rules for rules without limits.

Change: until its first configuration the owner accepts and reports, but plans no start and decides no failure. The jobs are judged when the configuration comes.

Test: OwnerWithoutConfigurationDecidesNothing failed before (job failed after two of four attempts). cell_test passes (115 tests).

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -311,7 +311,7 @@
 void CellCore::Schedule(const CellTime& now, std::size_t free_advice_calls) {
   // A planned run reserves capacity, so nothing is planned that cannot be
   // written.
-  if (!m_dirty || !m_store_writable || m_ready.Empty()) {
+  if (!m_dirty || !m_configured || !m_store_writable || m_ready.Empty()) {
     return;
   }
   m_dirty = false;
@@ -332,7 +332,8 @@
 
 void CellCore::RequestAdviceAhead(const CellTime& now,
                                   std::size_t free_advice_calls) {
-  if (!m_store_writable || m_ready.Empty() || free_advice_calls == 0) {
+  if (!m_configured || !m_store_writable || m_ready.Empty() ||
+      free_advice_calls == 0) {
     return;
   }
   ScheduleResult result =
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -217,6 +217,9 @@
   CellBounds m_bounds;
   CellState m_state;
   CellRules m_rules;
+  // False until the first rules. Without them this owner starts nothing and
+  // decides no failure.
+  bool m_configured = false;
   // Positions in m_rules.m_queues, by name.
   std::unordered_map<std::string, std::size_t> m_queue_index;
   Scheduler m_scheduler;
--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -88,6 +88,25 @@
   EXPECT_EQ(m_cell.m_starts.size(), 2U);
 }
 
+// Fails if an owner that has not read the configuration yet fails a job by the
+// limit with which it was accepted, or starts tasks without the teams' caps.
+TEST_F(CellCoreAttemptsTest, OwnerWithoutConfigurationDecidesNothing) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  FailRun();
+  Configure(2, 4);
+  m_cell.TakeOverWithoutConfiguration();
+  m_cell.Run(200);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.m_starts.size(), 2U);
+  Configure(2, 4);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.m_starts.size(), 3U);
+}
+
 // Fails if a waiting task is started once more after the limit was lowered.
 TEST_F(CellCoreAttemptsTest, LoweredLimitEndsAJobThatWaitsForItsNextRun) {
   AddVms(1);
--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -17,14 +17,18 @@
   for (std::size_t i = 0; i < m_rules.m_queues.size(); ++i) {
     m_queue_index[m_rules.m_queues[i].m_name] = i;
   }
-  std::vector<std::string> changed;
+  const bool first = !std::exchange(m_configured, true);
+  std::vector<std::string> affected;
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    if (ApplyRules(job->m_spec)) {
+    const bool changed = ApplyRules(job->m_spec);
+    if (changed) {
       m_ready.Reorder(*job);
-      changed.push_back(id);
+    }
+    if (changed || first) {
+      affected.push_back(id);
     }
   }
-  FailJobsWithoutAttempts(changed, now);
+  FailJobsWithoutAttempts(affected, now);
   m_dirty = true;
 }
 
@@ -49,7 +53,8 @@
 void CellCore::FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now) {
   const Job* job = m_state.FindJob(ref.m_job);
   const TaskState* task = m_state.FindTask(ref);
-  if (job == nullptr || task == nullptr || job->Ended() || task->m_done) {
+  if (!m_configured || job == nullptr || task == nullptr || job->Ended() ||
+      task->m_done) {
     return;
   }
   const FailedRuns& failures = m_state.FailuresOf(ref);
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -45,6 +45,7 @@
   static constexpr const char* kService = "svc";
 
   CellHarness() : m_core(std::make_unique<CellCore>(CellBounds{})) {
+    m_core->OnRules(m_rules, Now());
     m_core->OnRecovered(Now());
   }
 
@@ -276,13 +277,13 @@
   void TakeOver() {
     m_core = std::make_unique<CellCore>(CellBounds{});
     m_core->OnRules(m_rules, Now());
-    for (const LogRecord& record : m_log) {
-      m_core->Replay(record);
-    }
-    m_core->OnRecovered(Now());
-    for (auto& [id, vm] : m_vms) {
-      m_core->OnVmListed(vm.m_description, Now());
-    }
+    Recover();
+  }
+
+  // The same, but the new owner has not read the configuration yet.
+  void TakeOverWithoutConfiguration() {
+    m_core = std::make_unique<CellCore>(CellBounds{});
+    Recover();
   }
 
   // --- VMs ---
@@ -333,6 +334,16 @@
   static constexpr std::int64_t kUnixStartMs = 1'800'000'000'000;
   static constexpr std::size_t kFreeAdviceCalls = 16;
 
+  void Recover() {
+    for (const LogRecord& record : m_log) {
+      m_core->Replay(record);
+    }
+    m_core->OnRecovered(Now());
+    for (auto& [id, vm] : m_vms) {
+      m_core->OnVmListed(vm.m_description, Now());
+    }
+  }
+
   void ExecuteEffects() {
     for (Effect& effect : m_core->TakeEffects()) {
       std::visit([this](auto& item) { Execute(item); }, effect);
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -36,6 +36,7 @@
   VmPollerTest()
       : m_core(CellBounds{}),
         m_holder(m_vms, m_loop, m_core, 7, {[] {}, [] {}}, kMaxLongPolls) {
+    m_core.OnRules({}, m_loop.Now());
     m_core.OnRecovered(m_loop.Now());
     VmDescription vm;
     vm.m_incarnation = {"vm-0", 1};
--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -55,6 +55,7 @@
 class OwnerLoad {
  public:
   OwnerLoad(int vms, int steps) : m_core(CellBounds{}) {
+    m_core.OnRules({}, Now());
     m_core.OnRecovered(Now());
     for (int i = 0; i < vms; ++i) {
       AddVm(i);
