--- a/Source/Core/cell/cell_core_incarnations_test.cc
+++ b/Source/Core/cell/cell_core_incarnations_test.cc
@@ -306,5 +306,86 @@
   EXPECT_EQ(m_cell.CountWaiting(), 1U);
 }
 
+// Fails if an end of a new incarnation is skipped or counted twice because its
+// number is one of the old incarnation's, whatever the list says.
+TEST_F(CellCoreIncarnationsTest, EndNumbersBeginAnewWithAnIncarnation) {
+  enum class List { kNot, kTrue, kFalse, kNewOwner };
+  for (const List list :
+       {List::kNot, List::kTrue, List::kFalse, List::kNewOwner}) {
+    SCOPED_TRACE(static_cast<int>(list));
+    m_cell = CellHarness();
+    AddVms(1);
+    QueueRules queue = m_cell.Queue();
+    queue.m_max_attempts = 2;
+    m_cell.Submit(m_cell.Job(2, {CellHarness::Step(3, 1'000)}));
+    m_cell.Run(200);
+    m_cell.End(2, RunEnd::kDone);
+    m_cell.Run(200);
+    ASSERT_EQ(m_cell.Core().State().FindVm({"vm-0", 1})->m_last_end, 3U);
+    m_cell.Restart("vm-0", 2);
+    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+    m_cell.Pump();
+    ASSERT_EQ(m_cell.RunningOf(1), 1U);
+    m_cell.End(1, RunEnd::kFailed);
+    ASSERT_EQ(m_cell.Vm("vm-0").m_ended.at(0).m_sequence, 1U);
+    if (list == List::kTrue) {
+      m_cell.List("vm-0");
+    } else if (list == List::kFalse) {
+      VmDescription entry = m_cell.Vm("vm-0").m_description;
+      entry.m_incarnation.m_born = 99;
+      m_cell.Core().OnVmListed(entry, m_cell.Now());
+    } else if (list == List::kNewOwner) {
+      m_cell.TakeOver();
+    }
+    m_cell.Look();
+    m_cell.Look();
+    m_cell.Run(500);
+    const TaskRef task{CellHarness::Id(1), 0, 0, 0};
+    EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Runs(),
+              std::vector<std::uint32_t>{1});
+    EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+    EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+    EXPECT_TRUE(m_cell.Vm("vm-0").m_ended.empty());
+    m_cell.List("vm-0");
+    m_cell.Run(500);
+    ASSERT_EQ(m_cell.RunningOf(1), 1U);
+    m_cell.End(1, RunEnd::kFailed);
+    m_cell.Run(200);
+    EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+  }
+}
+
+// Fails if a failure on a live VM counts twice or not at all because an entry
+// with a later start is listed under its id, also at the next owner.
+TEST_F(CellCoreIncarnationsTest, FailureUnderAFalseEntryCountsOnce) {
+  AddVms(1);
+  QueueRules queue = m_cell.Queue();
+  queue.m_max_attempts = 2;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+  m_cell.Run(200);
+  VmDescription entry = m_cell.Vm("vm-0").m_description;
+  entry.m_incarnation.m_born = 99;
+  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  m_cell.End(1, RunEnd::kFailed);
+  const std::vector<ReportedEnd> ended = m_cell.Vm("vm-0").m_ended;
+  m_cell.Look();
+  m_cell.Look();
+  m_cell.Run(500);
+  const TaskRef task{CellHarness::Id(1), 0, 0, 0};
+  EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+  m_cell.TakeOver();
+  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  m_cell.Vm("vm-0").m_ended = ended;
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  m_cell.List("vm-0");
+  m_cell.Run(500);
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.End(1, RunEnd::kFailed);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_entry_test.cc
+++ b/Source/Core/cell/cell_entry_test.cc
@@ -76,5 +76,27 @@
   EXPECT_FALSE(answer->has_value());
 }
 
+// Fails if an answer of an owner in this process reaches a caller after the
+// cell was lost: the state that it tells may not be the next owner's.
+TEST_F(CellEntryTest, LateAnswerOfALostLocalOwnerIsDropped) {
+  std::vector<CellEntry<ManualLoop>::AnswerDone> pending;
+  m_entry.SetLocalOwner([&](const CellRequest&, auto done) {
+    pending.push_back(std::move(done));
+  });
+  const auto answer = Send();
+  ASSERT_EQ(pending.size(), 1U);
+  m_entry.ClearOwner();
+  pending[0]({CellOutcome::kPhase, JobPhase::kFailed});
+  EXPECT_FALSE(answer->has_value());
+  Connect();
+  ASSERT_EQ(m_sent.size(), 1U);
+  pending[0]({CellOutcome::kPhase, JobPhase::kFailed});
+  EXPECT_FALSE(answer->has_value());
+  m_entry.OnAnswer(m_sent[0].m_number,
+                   {CellOutcome::kPhase, JobPhase::kRunning});
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->m_phase, JobPhase::kRunning);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/owner_log_test.cc
+++ b/Source/Core/cell/owner_log_test.cc
@@ -173,5 +173,27 @@
   EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"a"});
 }
 
+// Fails if segments that a snapshot covers, or an unfinished later snapshot,
+// are read beside it: failures in them would count again.
+TEST_F(OwnerLogTest, SegmentsBeforeASnapshotAreNotReadBesideIt) {
+  const auto log = LoadedLog();
+  for (int i = 0; i < 3; ++i) {
+    log->Append(Segment("old-" + std::to_string(i)), [] {});
+    m_loop.Run(50);
+  }
+  const auto before = m_state.m_values;
+  log->WriteSnapshot({JobCancelled{"snapshot", 1}});
+  log->Append(Segment("after"), [] {});
+  m_loop.Run(500);
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    m_state.Put(SegmentKey(i), before.at(SegmentKey(i)).m_value);
+  }
+  m_state.Put(SnapshotKey(5, 0), EncodeRecords({JobCancelled{"half", 1}}));
+  EXPECT_EQ(LoadedJobs(), (std::vector<std::string>{"snapshot", "after"}));
+  m_loop.Run(500);
+  EXPECT_EQ(m_state.m_values.count(SegmentKey(1)), 0U);
+  EXPECT_EQ(LoadedJobs(), (std::vector<std::string>{"snapshot", "after"}));
+}
+
 }  // namespace
 }  // namespace mustardslip
