--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -361,5 +361,79 @@
   EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
 }
 
+// Fails if a new owner forgets the limit that the last configuration with the
+// queue set for its jobs: the queue may return, and its jobs with it.
+TEST_F(CellCoreAttemptsTest, LimitOfARemovedQueueHoldsAtTheNextOwner) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  Configure(2, 4);
+  FailRun();
+  FailRun();
+  m_cell.Configure(3, {});
+  m_cell.Run(200);
+  ASSERT_EQ(PhaseOf(1), JobPhase::kRunning);
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  FailRun();
+  Configure(4, 4);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+}
+
+// Fails if a job that stays in the pool it was accepted for keeps the limit of
+// that time too, when its queue has moved to another pool.
+TEST_F(CellCoreAttemptsTest, LimitHoldsForJobsOfAQueueThatMovedToAnotherPool) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  QueueRules moved = QueueWithAttempts(4);
+  moved.m_service = "other";
+  m_cell.Configure(2, {moved});
+  FailRun();
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+}
+
+// Fails if a new owner forgets the limit of the last configuration before the
+// queue moved to another pool.
+TEST_F(CellCoreAttemptsTest, LimitBeforeAMoveOfTheQueueHoldsAtTheNextOwner) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  Configure(2, 4);
+  QueueRules moved = QueueWithAttempts(4);
+  moved.m_service = "other";
+  m_cell.Configure(3, {moved});
+  FailRun();
+  FailRun();
+  ASSERT_EQ(PhaseOf(1), JobPhase::kRunning);
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+}
+
+// Fails if a new owner that has not seen the newest configuration yet fails a
+// job that an owner with the newest one let go on.
+TEST_F(CellCoreAttemptsTest, OwnerWithAnOlderConfigurationFailsNoJobByIt) {
+  AddVms(4);
+  Configure(1, 2);
+  SubmitWithAttempts(2);
+  Configure(2, 4);
+  FailRun();
+  FailRun();
+  ASSERT_EQ(PhaseOf(1), JobPhase::kRunning);
+  // Not for this owner, which has a newer one, but for the next.
+  Configure(1, 2);
+  ASSERT_EQ(m_cell.Core().RulesVersion(), 2);
+  m_cell.TakeOver();
+  m_cell.Run(200);
+  FailRun();
+  Configure(2, 4);
+  m_cell.Run(200);
+  EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+}
+
 }  // namespace
 }  // namespace mustardslip
