Jobs of a queue that moved to another pool get its new rules

What callers could see: a job was failed with attempts left, or started too often, when its queue had moved to another service and its max_attempts had changed.

Cause: rules were applied only if the queue's service was still that of the job.

Change: all rules but the service are applied; the job stays in its pool.

--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -40,11 +40,12 @@
   if (found == m_queue_index.end()) {
     return false;
   }
-  const QueueRules& rules = m_rules.m_queues[found->second];
-  if (rules.m_service != spec.m_queue.m_service || rules == spec.m_queue) {
+  QueueRules rules = m_rules.m_queues[found->second];
+  rules.m_service = spec.m_queue.m_service;
+  if (rules == spec.m_queue) {
     return false;
   }
-  spec.m_queue = rules;
+  spec.m_queue = std::move(rules);
   return true;
 }
 
