--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -78,9 +78,13 @@
     for (const auto& [number, occurrence] : job.m_occurrences) {
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
         const StepState& step = occurrence.m_steps[s];
-        const bool gang_runs = job.m_spec.m_steps[s].m_gang && step.m_open > 0;
+        const bool gang = job.m_spec.m_steps[s].m_gang;
         for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
-          if (!gang_runs && step.m_tasks[t].m_open.empty()) {
+          const TaskState& task = step.m_tasks[t];
+          const bool runs = gang ? step.m_open > 0 : !task.m_open.empty();
+          const FailedRuns& failures =
+              gang ? step.m_gang_failures : task.m_failures;
+          if (!runs && failures.Count() > 0) {
             FailIfNoAttemptIsLeft({id, number, s, t}, now);
           }
         }
