One place tells where a task's failures are counted

The check for a failed job, made at each end of a run, looked up the job five times by its id and now does so twice. A failed job's runs were to be stopped twice in one batch. Rules that did not change were copied for each job and each submission. No change of behaviour.

--- a/Source/Core/cell/cell_core_incarnations_test.cc
+++ b/Source/Core/cell/cell_core_incarnations_test.cc
@@ -341,9 +341,9 @@
     m_cell.Look();
     m_cell.Run(500);
     const TaskRef task{CellHarness::Id(1), 0, 0, 0};
-    EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Runs(),
+    EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Runs(),
               std::vector<std::uint32_t>{1});
-    EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+    EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Count(), 1U);
     EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
     EXPECT_TRUE(m_cell.Vm("vm-0").m_ended.empty());
     m_cell.List("vm-0");
@@ -372,12 +372,12 @@
   m_cell.Look();
   m_cell.Run(500);
   const TaskRef task{CellHarness::Id(1), 0, 0, 0};
-  EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+  EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Count(), 1U);
   m_cell.TakeOver();
   m_cell.Core().OnVmListed(entry, m_cell.Now());
   m_cell.Vm("vm-0").m_ended = ended;
   m_cell.Run(500);
-  EXPECT_EQ(m_cell.Core().State().FailuresOf(task).Count(), 1U);
+  EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Count(), 1U);
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
   m_cell.List("vm-0");
   m_cell.Run(500);
--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -40,7 +40,11 @@
   if (found == m_queue_index.end()) {
     return false;
   }
-  QueueRules rules = m_rules.m_queues[found->second];
+  const QueueRules& newest = m_rules.m_queues[found->second];
+  if (newest == spec.m_queue) {
+    return false;
+  }
+  QueueRules rules = newest;
   rules.m_service = spec.m_queue.m_service;
   if (rules == spec.m_queue) {
     return false;
@@ -50,15 +54,19 @@
 }
 
 // Logged as a decision of its own: a later owner, whose rules may differ, must
-// not take it again.
+// not take it again. The caller stops the runs of the job.
 void CellCore::FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now) {
   const Job* job = m_state.FindJob(ref.m_job);
-  const TaskState* task = m_state.FindTask(ref);
-  if (!m_configured || job == nullptr || task == nullptr || job->Ended() ||
-      task->m_done) {
+  if (!m_configured || job == nullptr || job->Ended()) {
+    return;
+  }
+  const StepState* step = m_state.FindStep(ref);
+  if (step == nullptr || ref.m_index >= step->m_tasks.size() ||
+      step->m_tasks[ref.m_index].m_done) {
     return;
   }
-  const FailedRuns& failures = m_state.FailuresOf(ref);
+  const FailedRuns& failures =
+      step->FailuresOf(job->m_spec.m_steps[ref.m_step], ref.m_index);
   const std::int64_t max_attempts = job->m_spec.m_queue.m_max_attempts;
   if (failures.Count() == 0 || failures.Count() < max_attempts) {
     return;
@@ -66,7 +74,6 @@
   Append(JobProgress{ref.m_job, now.m_unix_ms, true, true, job->m_confirmed});
   Defer(JobFailure{ref, failures.Runs(), failures.Count(), max_attempts,
                    m_rules.m_version});
-  Defer(StopJob{ref.m_job});
 }
 
 // Fails those of the jobs in which a task that waits for its next run has no
@@ -75,21 +82,25 @@
                                        const CellTime& now) {
   for (const std::string& id : jobs) {
     const Job& job = *m_state.FindJob(id);
+    if (job.Ended()) {
+      continue;
+    }
     for (const auto& [number, occurrence] : job.m_occurrences) {
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        const StepSpec& spec = job.m_spec.m_steps[s];
         const StepState& step = occurrence.m_steps[s];
-        const bool gang = job.m_spec.m_steps[s].m_gang;
         for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
-          const TaskState& task = step.m_tasks[t];
-          const bool runs = gang ? step.m_open > 0 : !task.m_open.empty();
-          const FailedRuns& failures =
-              gang ? step.m_gang_failures : task.m_failures;
-          if (!runs && failures.Count() > 0) {
+          const bool runs =
+              spec.m_gang ? step.m_open > 0 : !step.m_tasks[t].m_open.empty();
+          if (!runs && step.FailuresOf(spec, t).Count() > 0) {
             FailIfNoAttemptIsLeft({id, number, s, t}, now);
           }
         }
       }
     }
+    if (job.Ended()) {
+      Defer(StopJob{id});
+    }
   }
 }
 
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -111,11 +111,6 @@
   return nullptr;
 }
 
-const FailedRuns& CellState::FailuresOf(const TaskRef& task) {
-  const StepSpec& spec = FindJob(task.m_job)->m_spec.m_steps[task.m_step];
-  return FailuresOf(spec, *FindStep(task), *FindTask(task));
-}
-
 std::optional<CellState::TaskContext> CellState::ResolveTask(
     const TaskRef& task) {
   Job* job = FindJob(task.m_job);
@@ -244,8 +239,9 @@
         job.m_ended_unix_ms = record.m_unix_ms;
       }
     }
-  } else if (record.m_end == RunEnd::kFailed && !task.m_done) {
-    CountFailure(spec, step, task, record);
+  } else if (record.m_end == RunEnd::kFailed && !task.m_done &&
+             step.FailuresOf(spec, record.m_task.m_index).Add(record.m_run)) {
+    task.m_last_failed_vm = record.m_vm.m_id;
   }
 }
 
@@ -261,18 +257,6 @@
   }
 }
 
-FailedRuns& CellState::FailuresOf(const StepSpec& spec, StepState& step,
-                                  TaskState& task) {
-  return spec.m_gang ? step.m_gang_failures : task.m_failures;
-}
-
-void CellState::CountFailure(const StepSpec& spec, StepState& step,
-                             TaskState& task, const RunEnded& record) {
-  if (FailuresOf(spec, step, task).Add(record.m_run)) {
-    task.m_last_failed_vm = record.m_vm.m_id;
-  }
-}
-
 void CellState::UpdateActive(const std::string& id, Job& job) {
   if (job.Ended() && job.m_open_runs == 0) {
     m_active.erase(id);
@@ -321,7 +305,7 @@
 
 void CellState::ApplyOne(const FailedRunSnapshot& record) {
   if (const auto place = ResolveTask(record.m_task)) {
-    FailuresOf(place->m_spec, place->m_step, place->m_task)
+    place->m_step.FailuresOf(place->m_spec, record.m_task.m_index)
         .Restore(record.m_failures, record.m_run);
   }
 }
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -52,9 +52,6 @@
   TaskState* FindTask(const TaskRef& task);
   StepState* FindStep(const TaskRef& task);
   OpenRun* FindRun(const TaskRef& task, std::uint32_t number);
-  // The failures that count against the queue's attempts of the task, or of its
-  // gang. Requires that the task exists.
-  const FailedRuns& FailuresOf(const TaskRef& task);
 
   // Drops jobs that ended before `unix_ms` and have no open runs.
   void DropJobsEndedBefore(std::int64_t unix_ms);
@@ -100,13 +97,8 @@
 
   void CloseRun(Job& job, const RunEnded& record);
   void CountEnd(Job& job, const RunEnded& record);
-  // The failures that count against the queue's attempts of the task.
-  static FailedRuns& FailuresOf(const StepSpec& spec, StepState& step,
-                                TaskState& task);
   static void MarkDone(Occurrence& occurrence, StepState& step,
                        TaskState& task);
-  static void CountFailure(const StepSpec& spec, StepState& step,
-                           TaskState& task, const RunEnded& record);
   void UpdateActive(const std::string& id, Job& job);
 
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -159,7 +159,7 @@
   // At least the number of m_runs; more if some are known by number only.
   std::uint32_t m_failures = 0;
   std::int64_t m_max_attempts = 0;
-  // Version of the configuration in force at the owner; 0 if it has none.
+  // Version of the configuration in force at the owner.
   std::int64_t m_configuration = 0;
 
   bool operator==(const JobFailure&) const = default;
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -116,6 +116,14 @@
   std::optional<ReadyOrder> m_ready_order;
 
   bool Done() const { return m_done == m_tasks.size(); }
+  // The failures that count against the queue's attempts of the task, or of its
+  // gang.
+  FailedRuns& FailuresOf(const StepSpec& spec, std::uint32_t task) {
+    return spec.m_gang ? m_gang_failures : m_tasks[task].m_failures;
+  }
+  const FailedRuns& FailuresOf(const StepSpec& spec, std::uint32_t task) const {
+    return spec.m_gang ? m_gang_failures : m_tasks[task].m_failures;
+  }
 };
 
 struct Occurrence {
