Tests: one set-up each for a limit, a false entry and repeated failures

The duplicates that the change had added: eleven times the same configuration and submission, three times the same false entry, twice the same loop of failures, and a queue with two attempts in four places.

--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -12,12 +12,6 @@
 
 class CellCoreAttemptsTest : public CellCoreTest {
  protected:
-  QueueRules QueueWithAttempts(std::int64_t max_attempts) const {
-    QueueRules queue = m_cell.Queue();
-    queue.m_max_attempts = max_attempts;
-    return queue;
-  }
-
   void Configure(std::int64_t version, std::int64_t max_attempts) {
     m_cell.Configure(version, {QueueWithAttempts(max_attempts)});
   }
@@ -29,6 +23,13 @@
     m_cell.Run(200);
   }
 
+  // Submits job 1 under a configuration with this limit.
+  void SubmitUnderLimit(std::int64_t max_attempts) {
+    AddVms(4);
+    Configure(1, max_attempts);
+    SubmitWithAttempts(max_attempts);
+  }
+
   // Submits job 1, one task or a gang of two, with one attempt.
   void SubmitWithOneAttempt(bool gang) {
     m_cell = CellHarness();
@@ -83,9 +84,7 @@
 // Fails if a new owner judges a job's failures by the limit with which it was
 // accepted: the job would be shown as failed although it has attempts left.
 TEST_F(CellCoreAttemptsTest, RaisedLimitHoldsAtTheNextOwner) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   Configure(2, 4);
   FailRun();
   FailRun();
@@ -102,9 +101,7 @@
 // Fails if a new owner starts a task more often than the configuration in force
 // allows, because the job was accepted with a higher limit.
 TEST_F(CellCoreAttemptsTest, LoweredLimitHoldsAtTheNextOwner) {
-  AddVms(4);
-  Configure(1, 4);
-  SubmitWithAttempts(4);
+  SubmitUnderLimit(4);
   Configure(2, 2);
   FailRun();
   m_cell.TakeOver();
@@ -116,9 +113,7 @@
 
 // Fails if a job that callers have seen as failed runs again at a new owner.
 TEST_F(CellCoreAttemptsTest, FailedJobStaysFailedAtTheNextOwner) {
-  AddVms(4);
-  Configure(1, 4);
-  SubmitWithAttempts(4);
+  SubmitUnderLimit(4);
   Configure(2, 2);
   FailRun();
   FailRun();
@@ -136,9 +131,7 @@
 // Fails if an owner that has not read the configuration yet fails a job by the
 // limit with which it was accepted, or starts tasks without the teams' caps.
 TEST_F(CellCoreAttemptsTest, OwnerWithoutConfigurationDecidesNothing) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   FailRun();
   Configure(2, 4);
   m_cell.TakeOverWithoutConfiguration();
@@ -173,9 +166,7 @@
 // Fails if a job runs again whose failure an earlier version left to be
 // concluded from the ends in the log.
 TEST_F(CellCoreAttemptsTest, FailureInALogOfAnEarlierVersionIsKept) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   FailRun();
   FailRun();
   std::erase_if(m_cell.m_log, [](const LogRecord& record) {
@@ -319,9 +310,7 @@
 // Fails if a job is told or logged as failed before the record is durable: the
 // next owner may not regard it as failed.
 TEST_F(CellCoreAttemptsTest, FailureIsNotToldBeforeItIsDurable) {
-  AddVms(4);
-  Configure(1, 1);
-  SubmitWithAttempts(1);
+  SubmitUnderLimit(1);
   m_cell.m_store_up = false;
   m_cell.End(1, RunEnd::kFailed);
   m_cell.Run(200);
@@ -343,9 +332,7 @@
 // Fails if a failure that an owner could not write binds the next one, or is
 // lost there.
 TEST_F(CellCoreAttemptsTest, UnwrittenFailureIsDecidedByTheNextOwner) {
-  AddVms(4);
-  Configure(1, 1);
-  SubmitWithAttempts(1);
+  SubmitUnderLimit(1);
   m_cell.m_store_up = false;
   m_cell.End(1, RunEnd::kFailed);
   m_cell.Run(200);
@@ -364,9 +351,7 @@
 // Fails if a new owner forgets the limit that the last configuration with the
 // queue set for its jobs: the queue may return, and its jobs with it.
 TEST_F(CellCoreAttemptsTest, LimitOfARemovedQueueHoldsAtTheNextOwner) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   Configure(2, 4);
   FailRun();
   FailRun();
@@ -384,9 +369,7 @@
 // Fails if a job that stays in the pool it was accepted for keeps the limit of
 // that time too, when its queue has moved to another pool.
 TEST_F(CellCoreAttemptsTest, LimitHoldsForJobsOfAQueueThatMovedToAnotherPool) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   QueueRules moved = QueueWithAttempts(4);
   moved.m_service = "other";
   m_cell.Configure(2, {moved});
@@ -398,9 +381,7 @@
 // Fails if a new owner forgets the limit of the last configuration before the
 // queue moved to another pool.
 TEST_F(CellCoreAttemptsTest, LimitBeforeAMoveOfTheQueueHoldsAtTheNextOwner) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   Configure(2, 4);
   QueueRules moved = QueueWithAttempts(4);
   moved.m_service = "other";
@@ -417,9 +398,7 @@
 // Fails if a new owner that has not seen the newest configuration yet fails a
 // job that an owner with the newest one let go on.
 TEST_F(CellCoreAttemptsTest, OwnerWithAnOlderConfigurationFailsNoJobByIt) {
-  AddVms(4);
-  Configure(1, 2);
-  SubmitWithAttempts(2);
+  SubmitUnderLimit(2);
   Configure(2, 4);
   FailRun();
   FailRun();
--- a/Source/Core/cell/cell_core_fixture.h
+++ b/Source/Core/cell/cell_core_fixture.h
@@ -20,6 +20,21 @@
     m_cell.Run(100);
   }
 
+  QueueRules QueueWithAttempts(std::int64_t max_attempts) const {
+    QueueRules queue = m_cell.Queue();
+    queue.m_max_attempts = max_attempts;
+    return queue;
+  }
+
+  // Fails the runs of job 1, so often if it is started so often.
+  void FailRuns(int count) {
+    for (int i = 0; i < count; ++i) {
+      m_cell.Run(200);
+      m_cell.End(1, RunEnd::kFailed);
+    }
+    m_cell.Run(200);
+  }
+
   // Job 1 is a gang whose first run failed and whose second run is open.
   void StartGangThatFailedOnce(std::int64_t cpu) {
     AddVms(3);
--- a/Source/Core/cell/cell_core_incarnations_test.cc
+++ b/Source/Core/cell/cell_core_incarnations_test.cc
@@ -23,6 +23,13 @@
     m_cell.Pump();
     ASSERT_EQ(m_cell.RunningOf(1), 1U);
   }
+
+  // Another writer lists vm-0 with a later start time than it has.
+  void ListFalseEntry() {
+    VmDescription entry = m_cell.Vm("vm-0").m_description;
+    entry.m_incarnation.m_born = 99;
+    m_cell.Core().OnVmListed(entry, m_cell.Now());
+  }
 };
 
 // Fails if the runs of an incarnation are closed as soon as a newer one is
@@ -112,9 +119,7 @@
   m_cell.Run(200);
   ASSERT_EQ(m_cell.RunningOf(1), 2U);
   m_cell.AddVm("vm-2", kVmCapacity);
-  VmDescription entry = m_cell.Vm("vm-0").m_description;
-  entry.m_incarnation.m_born = 99;
-  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  ListFalseEntry();
   m_cell.Run(kVmLeaseMs + 1'000);
   EXPECT_EQ(m_cell.m_starts.size(), 2U);
   m_cell.List("vm-0");
@@ -132,9 +137,8 @@
 // (LOST, review/3).
 TEST_F(CellCoreIncarnationsTest, FailureIsCountedOnceAfterTheEntryWasAway) {
   AddVms(1);
-  QueueRules queue = m_cell.Queue();
-  queue.m_max_attempts = 2;
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+  m_cell.Submit(
+      m_cell.Job(1, {CellHarness::Step(1, 1'000)}, QueueWithAttempts(2)));
   m_cell.Run(200);
   m_cell.AddVm("vm-1", kVmCapacity);
   m_cell.Unlist("vm-0");
@@ -176,9 +180,8 @@
   for (const bool from_snapshot : {false, true}) {
     m_cell = CellHarness();
     AddVms(1);
-    QueueRules queue = m_cell.Queue();
-    queue.m_max_attempts = 2;
-    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+    m_cell.Submit(
+        m_cell.Job(1, {CellHarness::Step(1, 1'000)}, QueueWithAttempts(2)));
     m_cell.Run(200);
     m_cell.End(1, RunEnd::kFailed);
     m_cell.Look();
@@ -315,15 +318,14 @@
     SCOPED_TRACE(static_cast<int>(list));
     m_cell = CellHarness();
     AddVms(1);
-    QueueRules queue = m_cell.Queue();
-    queue.m_max_attempts = 2;
     m_cell.Submit(m_cell.Job(2, {CellHarness::Step(3, 1'000)}));
     m_cell.Run(200);
     m_cell.End(2, RunEnd::kDone);
     m_cell.Run(200);
     ASSERT_EQ(m_cell.Core().State().FindVm({"vm-0", 1})->m_last_end, 3U);
     m_cell.Restart("vm-0", 2);
-    m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+    m_cell.Submit(
+        m_cell.Job(1, {CellHarness::Step(1, 1'000)}, QueueWithAttempts(2)));
     m_cell.Pump();
     ASSERT_EQ(m_cell.RunningOf(1), 1U);
     m_cell.End(1, RunEnd::kFailed);
@@ -331,9 +333,7 @@
     if (list == List::kTrue) {
       m_cell.List("vm-0");
     } else if (list == List::kFalse) {
-      VmDescription entry = m_cell.Vm("vm-0").m_description;
-      entry.m_incarnation.m_born = 99;
-      m_cell.Core().OnVmListed(entry, m_cell.Now());
+      ListFalseEntry();
     } else if (list == List::kNewOwner) {
       m_cell.TakeOver();
     }
@@ -359,13 +359,10 @@
 // with a later start is listed under its id, also at the next owner.
 TEST_F(CellCoreIncarnationsTest, FailureUnderAFalseEntryCountsOnce) {
   AddVms(1);
-  QueueRules queue = m_cell.Queue();
-  queue.m_max_attempts = 2;
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}, queue));
+  m_cell.Submit(
+      m_cell.Job(1, {CellHarness::Step(1, 1'000)}, QueueWithAttempts(2)));
   m_cell.Run(200);
-  VmDescription entry = m_cell.Vm("vm-0").m_description;
-  entry.m_incarnation.m_born = 99;
-  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  ListFalseEntry();
   m_cell.End(1, RunEnd::kFailed);
   const std::vector<ReportedEnd> ended = m_cell.Vm("vm-0").m_ended;
   m_cell.Look();
@@ -374,7 +371,7 @@
   const TaskRef task{CellHarness::Id(1), 0, 0, 0};
   EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Count(), 1U);
   m_cell.TakeOver();
-  m_cell.Core().OnVmListed(entry, m_cell.Now());
+  ListFalseEntry();
   m_cell.Vm("vm-0").m_ended = ended;
   m_cell.Run(500);
   EXPECT_EQ(m_cell.Core().State().FindTask(task)->m_failures.Count(), 1U);
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -212,11 +212,7 @@
 TEST_F(CellCoreTest, JobFailsAfterMaxAttempts) {
   AddVms(4);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
-  for (int i = 0; i < 5; ++i) {
-    m_cell.Run(200);
-    m_cell.End(1, RunEnd::kFailed);
-  }
-  m_cell.Run(200);
+  FailRuns(5);
   EXPECT_EQ(m_cell.m_starts.size(), 3U);
   EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
 }
@@ -227,11 +223,7 @@
   m_cell.Configure(7, {m_cell.Queue()});
   AddVms(4);
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)}));
-  for (int i = 0; i < 5; ++i) {
-    m_cell.Run(200);
-    m_cell.End(1, RunEnd::kFailed);
-  }
-  m_cell.Run(200);
+  FailRuns(5);
   const JobFailure expected{{CellHarness::Id(1), 0, 0, 0}, {1, 2, 3}, 3, 3, 7};
   EXPECT_EQ(m_cell.m_failures, std::vector<JobFailure>{expected});
 }
