Tell traffic by purpose, and what a waiting gang waited for

Neither a line nor a metric told what fills the owner's link, nor why a gang does not start, so the hypotheses could not be told apart. Every HTTP call and link message now has a purpose; the reactor counts messages, bytes and the time of their handlers. An owner logs them every 2 s and when it loses the cell (owner_workload), and they are the metric mustardslip_cell_traffic. Each scheduling pass notes the cause for which a gang that is ready does not start; a line tells it (gang_waits, gang_started_late).

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -324,10 +324,7 @@
     m_state.FindRun(placement.m_task, placement.m_run)->m_awaiting_log = true;
     Defer(PlannedStart{std::move(placement)});
   }
-  for (AdviceRequest& request : result.m_advice_requests) {
-    ++m_counters.m_asks;
-    m_effects.push_back(std::move(request));
-  }
+  ReleaseUnlogged(std::move(result));
 }
 
 void CellCore::RequestAdviceAhead(const CellTime& now,
@@ -339,6 +336,14 @@
   ScheduleResult result =
       m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls);
   m_counters.m_vms_examined += result.m_vms_examined;
+  ReleaseUnlogged(std::move(result));
+}
+
+// Releases the effects of a pass that depend on no record.
+void CellCore::ReleaseUnlogged(ScheduleResult result) {
+  for (GangDelay& delay : result.m_gang_delays) {
+    m_effects.push_back(std::move(delay));
+  }
   for (AdviceRequest& request : result.m_advice_requests) {
     ++m_counters.m_asks;
     m_effects.push_back(std::move(request));
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -213,6 +213,7 @@
   void ReleaseDueOccurrences(const CellTime& now);
   void RepeatStops(const CellTime& now);
   void OnJobsChanged();
+  void ReleaseUnlogged(ScheduleResult result);
 
   CellBounds m_bounds;
   CellState m_state;
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -321,6 +321,7 @@
   std::vector<StartRun> m_starts;
   std::vector<StopRun> m_stops;
   std::vector<JobFailure> m_failures;
+  std::vector<GangDelay> m_gang_delays;
   std::vector<AdviceRequest> m_asked;
   bool m_store_up = true;
   // Which VMs the advice service allows.
@@ -356,6 +357,8 @@
 
   void Execute(const JobFailure& failure) { m_failures.push_back(failure); }
 
+  void Execute(const GangDelay& delay) { m_gang_delays.push_back(delay); }
+
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
     SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -43,7 +43,11 @@
       m_values(prometheus::BuildGauge()
                    .Name("mustardslip_cell_state")
                    .Help("State of this daemon, by name")
-                   .Register(m_registry)) {}
+                   .Register(m_registry)),
+      m_traffic(prometheus::BuildGauge()
+                    .Name("mustardslip_cell_traffic")
+                    .Help("Messages and bytes of this daemon, by purpose")
+                    .Register(m_registry)) {}
 
 void CellMetrics::OnAnswer(CellMethod method, CellOutcome outcome,
                            std::int64_t ms) {
@@ -85,6 +89,21 @@
   }
 }
 
+void CellMetrics::UpdateTraffic(const TrafficMeter& traffic) {
+  for (std::size_t i = 0; i < kTrafficPurposes; ++i) {
+    const auto purpose = static_cast<TrafficPurpose>(i);
+    const TrafficCount& count = traffic.Of(purpose);
+    const auto set = [&](const char* what, std::uint64_t value) {
+      m_traffic
+          .Add({{"purpose", std::string(ToString(purpose))}, {"what", what}})
+          .Set(static_cast<double>(value));
+    };
+    set("sent_messages", count.m_sent_messages);
+    set("sent_bytes", count.m_sent_bytes);
+    set("received_bytes", count.m_received_bytes);
+  }
+}
+
 std::string CellMetrics::Exposition() const {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/Source/Core/cell/cell_metrics.h
+++ b/Source/Core/cell/cell_metrics.h
@@ -11,6 +11,7 @@
 
 #include "cell/cell_core.h"
 #include "cell/cell_request.h"
+#include "transport/traffic_meter.h"
 
 namespace mustardslip {
 
@@ -24,6 +25,9 @@
   void Update(const CellCore* core, std::uint64_t store_calls,
               std::uint64_t connections_opened, std::int64_t configuration);
 
+  // Sets the totals of the daemon's messages and bytes by purpose.
+  void UpdateTraffic(const TrafficMeter& traffic);
+
   // The body of GET /metrics (content type "text/plain; version=0.0.4").
   std::string Exposition() const;
 
@@ -33,6 +37,7 @@
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Gauge>& m_ends;
   prometheus::Family<prometheus::Gauge>& m_values;
+  prometheus::Family<prometheus::Gauge>& m_traffic;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -115,6 +115,8 @@
   static constexpr std::int64_t kMaxOwnerChangeMs = 3'000;
   // A draining owner resigns after this long even if a write is unanswered.
   static constexpr std::int64_t kResignTimeoutMs = 1'000;
+  // Interval of the lines that tell what an owner's link and processor did.
+  static constexpr std::int64_t kWorkloadReportMs = 2'000;
 
   // A link from another daemon to this one.
   struct Peer {
@@ -196,6 +198,23 @@
       m_owner->OnRules(m_configuration->Rules());
     }
     m_owner->Start();
+    m_workload_reported = m_reactor.Traffic();
+    m_work_reported = {};
+    m_workload_reported_ms = m_reactor.Now().m_steady_ms;
+  }
+
+  // Logs what the owner sent, received and did since the last report.
+  void ReportWorkload() {
+    const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
+    const WorkMeter& work = m_owner->Work();
+    Log(LogLevel::kInfo, LogCategory::kTransport, "owner_workload",
+        {{"during_ms", now_ms - m_workload_reported_ms},
+         {"ready", m_owner->Ready()},
+         {"traffic", Describe(m_reactor.Traffic(), m_workload_reported)},
+         {"work", Describe(work, m_work_reported)}});
+    m_workload_reported = m_reactor.Traffic();
+    m_work_reported = work;
+    m_workload_reported_ms = now_ms;
   }
 
   void OnOwnerReady() {
@@ -223,6 +242,7 @@
   }
 
   void OnLost() {
+    ReportWorkload();
     DestroyLater(std::move(m_owner));
     m_entry.ClearOwner();
     // Closing the links makes peers resend their requests to the next owner.
@@ -265,6 +285,7 @@
       OnOwnerMessage(message);
     };
     handlers.m_on_closed = [this](bool refused) { OnLinkClosed(refused); };
+    handlers.m_purpose_of = PurposeOf;
     m_link =
         std::make_unique<MessageLink>(m_reactor, *address, std::move(handlers));
   }
@@ -363,6 +384,7 @@
       OnPeerMessage(number, message);
     };
     handlers.m_on_closed = [this, number](bool) { RemovePeer(number); };
+    handlers.m_purpose_of = PurposeOf;
     Peer& peer = m_peers[number];
     peer.m_accepted_ms = m_reactor.Now().m_steady_ms;
     peer.m_last_received_ms = peer.m_accepted_ms;
@@ -459,6 +481,9 @@
     CheckIsolation(now_ms);
     if (m_owner) {
       m_owner->OnLeaseRenewed(m_ownership.LastConfirmedRenewalMs());
+      if (now_ms - m_workload_reported_ms >= kWorkloadReportMs) {
+        ReportWorkload();
+      }
     }
     CheckLinks(now_ms);
     CheckHandover(now_ms);
@@ -576,6 +601,10 @@
   std::int64_t m_last_connected_ms = 0;
   // Result of the last CheckIsolation().
   bool m_isolated = false;
+  // Totals in the last line of ReportWorkload(), and its time (steady clock).
+  TrafficMeter m_workload_reported;
+  WorkMeter m_work_reported;
+  std::int64_t m_workload_reported_ms = 0;
   bool m_draining = false;
   bool m_resigned = false;
   std::int64_t m_drain_started_ms = 0;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -22,6 +22,7 @@
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
 #include "cell/vm_poller.h"
+#include "cell/work_meter.h"
 #include "common/callback_guard.h"
 #include "common/logger.h"
 
@@ -149,6 +150,8 @@
   bool Idle() const { return !m_log.Writing() && !m_core.HasOpenBatch(); }
 
   const CellCore& Core() const { return m_core; }
+  // The time that this owner has spent so far.
+  const WorkMeter& Work() const { return m_work; }
 
  private:
   static constexpr std::uint64_t kThisDaemon = 0;
@@ -286,7 +289,10 @@
       CommitLater(wait_ms);
       return;
     }
-    m_core.Schedule(now, m_advice_queue.FreeCalls());
+    {
+      const WorkMeter::Span span(m_work, WorkKind::kSchedule);
+      m_core.Schedule(now, m_advice_queue.FreeCalls());
+    }
     ExecuteEffects();
     if (m_core.HasOpenBatch()) {
       Commit(now);
@@ -305,6 +311,7 @@
   }
 
   void Commit(const CellTime& now) {
+    const WorkMeter::Span span(m_work, WorkKind::kWrite);
     m_last_commit_ms = now.m_steady_ms;
     const std::vector<LogRecord>& batch = m_core.BeginBatch();
     std::shared_ptr<std::vector<LogRecord>> snapshot;
@@ -381,6 +388,8 @@
     LogJobFailure(failure, m_owner.m_revision);
   }
 
+  void Execute(const GangDelay& delay) { LogGangDelay(delay); }
+
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
     if (found == m_pending_requests.end()) {
@@ -442,6 +451,7 @@
   const OwnerRecord m_owner;
   const Handlers m_handlers;
   CallbackGuard m_guard;
+  WorkMeter m_work;
   CellCore m_core;
   OwnerLog<Store, Loop> m_log;
   VmPoller<Vms, Loop> m_holder;
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -145,6 +145,23 @@
 
 }  // namespace
 
+TrafficPurpose PurposeOf(const RpcMessage& message) {
+  const auto kind = message.m_header.find("t");
+  if (kind == message.m_header.end() || !kind->is_number_integer()) {
+    return TrafficPurpose::kOther;
+  }
+  switch (kind->get<LinkMessageKind>()) {
+    case LinkMessageKind::kRequest:
+    case LinkMessageKind::kAnswer:
+      return TrafficPurpose::kPeerRequest;
+    case LinkMessageKind::kAdviceRequest:
+    case LinkMessageKind::kAdviceAnswer:
+      return TrafficPurpose::kAdviceForward;
+    default:
+      return TrafficPurpose::kPeerControl;
+  }
+}
+
 RpcMessage EncodeLinkMessage(const LinkMessage& message) {
   RpcMessage encoded;
   encoded.m_header["t"] = message.m_kind;
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -11,6 +11,7 @@
 #include "cell/cell_types.h"
 #include "cell/workflow.h"
 #include "transport/message.h"
+#include "transport/traffic_meter.h"
 
 namespace mustardslip {
 
@@ -56,6 +57,9 @@
   AdviceAnswer m_advice;
 };
 
+// What an encoded message is for, by its kind.
+TrafficPurpose PurposeOf(const RpcMessage& message);
+
 RpcMessage EncodeLinkMessage(const LinkMessage& message);
 // Errors: kInvalidArgument for a message that EncodeLinkMessage did not make.
 Result<LinkMessage> DecodeLinkMessage(const RpcMessage& message);
--- a/Source/Core/cell/cell_request_test.cc
+++ b/Source/Core/cell/cell_request_test.cc
@@ -154,5 +154,17 @@
   EXPECT_FALSE(queue.Finish(3, assignment->m_number).has_value());
 }
 
+// Fails if a message is counted for another purpose before it is sent than
+// after it was received.
+TEST(CellRequestTest, PurposeOfAMessageIsTheSameAtBothEnds) {
+  LinkMessage message;
+  message.m_kind = LinkMessageKind::kAdviceRequest;
+  const RpcMessage sent = EncodeLinkMessage(message);
+  const auto received = DecodeMessage(EncodeMessage(sent));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(PurposeOf(sent), TrafficPurpose::kAdviceForward);
+  EXPECT_EQ(PurposeOf(*received), TrafficPurpose::kAdviceForward);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -165,8 +165,8 @@
   bool operator==(const JobFailure&) const = default;
 };
 
-using Effect =
-    std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller, JobFailure>;
+using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller,
+                            JobFailure, GangDelay>;
 
 // --- Events ---
 
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -29,6 +29,14 @@
   }
 };
 
+std::size_t TaskCount(const WorkflowSpec& spec) {
+  std::size_t tasks = 0;
+  for (const StepSpec& step : spec.m_steps) {
+    tasks += step.m_count;
+  }
+  return tasks;
+}
+
 StepRef StepOf(const TaskRef& task) {
   return {task.m_job, task.m_occurrence, task.m_step};
 }
@@ -55,7 +63,8 @@
           {{"job", spec.m_id},
            {"queue", spec.m_queue.m_name},
            {"team", spec.m_team},
-           {"steps", spec.m_steps.size()}});
+           {"steps", spec.m_steps.size()},
+           {"tasks", TaskCount(spec)}});
     } else if (const auto* cancelled = std::get_if<JobCancelled>(&record)) {
       Log(LogLevel::kInfo, LogCategory::kCell, "job_cancelled",
           {{"job", cancelled->m_job}});
@@ -90,6 +99,19 @@
        {"fence", fence}});
 }
 
+void LogGangDelay(const GangDelay& delay) {
+  Log(LogLevel::kInfo, LogCategory::kCell,
+      delay.m_starts ? "gang_started_late" : "gang_waits",
+      {{"job", delay.m_job},
+       {"step", delay.m_step},
+       {"tasks", delay.m_tasks},
+       {"waited_ms", delay.m_total_ms},
+       {"cause", ToString(delay.m_wait.Cause())},
+       {"waited_for", delay.m_wait.Describe()},
+       {"capacity", delay.m_capacity},
+       {"room", delay.m_room}});
+}
+
 void LogAdvice(const AdviceAnswer& answer) {
   std::string good;
   for (const AdviceAnswer::Row& row : answer.m_good) {
--- a/Source/Core/cell/decision_log.h
+++ b/Source/Core/cell/decision_log.h
@@ -16,6 +16,8 @@
 // Logs why a job became failed: the runs that count, the limit, the
 // configuration and the owner's fence.
 void LogJobFailure(const JobFailure& failure, std::int64_t fence);
+// Logs what a gang waited for, or waits for.
+void LogGangDelay(const GangDelay& delay);
 // Logs an answer of the advice service.
 void LogAdvice(const AdviceAnswer& answer);
 // Logs a stop whose reason no log record shows; nothing for other stops.
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cell/failed_runs.h"
+#include "cell/gang_wait.h"
 #include "cell/log_record.h"
 #include "cell/run_progress.h"
 #include "cell/workflow.h"
@@ -110,6 +111,10 @@
   // Volatile: the newest run of a gang that must not continue because a member
   // ended or is being moved.
   std::uint32_t m_last_aborted_run = 0;
+  // Volatile, gangs only: what the step waits for, and when that was last
+  // logged (owner's steady clock).
+  GangWait m_wait;
+  std::int64_t m_wait_logged_ms = 0;
   // Volatile: latest end of a ticket in m_advice, on the owner's steady clock.
   std::int64_t m_tickets_until_ms = 0;
   // Volatile: set while the step is in ReadySteps, which maintains it.
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -24,6 +24,10 @@
 // idle behind gangs that wait for each other.
 constexpr int kMinReservingGangs = 2;
 constexpr int kVmsPerGang = 24;
+// A gang that waits is logged at this interval, and one that starts if it has
+// waited for longer than the second time.
+constexpr std::int64_t kGangDelayIntervalMs = 4'000;
+constexpr std::int64_t kLoggedGangDelayMs = 1'000;
 
 // Replaces 0 (no limit) in each dimension of the cap by a very large value.
 Resources Unlimited(const Resources& cap) {
@@ -283,15 +287,20 @@
     const bool may_reserve =
         pool.m_reserving_gangs < pool.m_max_reserving_gangs;
     if (!step.MayHaveTickets() && !may_ask && !may_reserve) {
+      NoteWait(step, GangWaitCause::kOtherGangs, {});
       return;
     }
     const auto tasks = static_cast<std::int64_t>(state.m_tasks.size());
     if (TeamHeadroom(ready) < tasks) {
+      NoteWait(step, GangWaitCause::kTeamLimit, {});
       return;
     }
+    const GangRoom room = RoomForGang(step, pool.m_capacity);
     if (step.MayHaveTickets() && StartGang(step, pool.m_capacity, tasks)) {
+      NoteStart(step, room);
       return;
     }
+    NoteWait(step, WaitCauseOf(step, room, tasks), room);
     if (may_ask) {
       RequestAdvice(step, ChooseVmsForGang(step, pool.m_capacity, tasks,
                                            GoodShare(step)));
@@ -301,6 +310,75 @@
     }
   }
 
+  // How many members the VMs that may run a gang hold.
+  struct GangRoom {
+    std::int64_t m_when_empty = 0;
+    std::int64_t m_now = 0;
+  };
+
+  static GangRoom RoomForGang(const StepPlacement& step, PoolCapacity& pool) {
+    GangRoom room;
+    const Resources charge = step.Spec().Charge();
+    const auto add = [&](const Slot& slot) {
+      if (step.HasRequiredLabel(slot)) {
+        room.m_when_empty +=
+            FitCount(charge, slot.m_vm->m_description.m_capacity);
+        room.m_now += step.Fit(slot);
+      }
+    };
+    if (step.NeedsAdvice()) {
+      step.VisitRecommended(pool, add);
+    } else {
+      std::for_each(pool.Slots().begin(), pool.Slots().end(), add);
+    }
+    return room;
+  }
+
+  GangWaitCause WaitCauseOf(const StepPlacement& step, const GangRoom& room,
+                            std::int64_t tasks) const {
+    if (room.m_when_empty < tasks) {
+      const StepState& state = step.State();
+      return state.m_pending_advice_vms.empty() &&
+                     state.m_next_advice_call_ms <= m_now.m_steady_ms
+                 ? GangWaitCause::kRecommendation
+                 : GangWaitCause::kAdviceCall;
+    }
+    return room.m_now < tasks ? GangWaitCause::kRoom : GangWaitCause::kTicket;
+  }
+
+  void NoteWait(const StepPlacement& step, GangWaitCause cause,
+                const GangRoom& room) {
+    StepState& state = step.State();
+    state.m_wait.OnWaiting(cause, m_now.m_steady_ms);
+    if (state.m_wait_logged_ms == 0) {
+      state.m_wait_logged_ms = m_now.m_steady_ms;
+    }
+    if (m_now.m_steady_ms - state.m_wait_logged_ms >= kGangDelayIntervalMs) {
+      state.m_wait_logged_ms = m_now.m_steady_ms;
+      AddDelay(step, room, false);
+    }
+  }
+
+  void NoteStart(const StepPlacement& step, const GangRoom& room) {
+    StepState& state = step.State();
+    if (state.m_wait.Waiting()) {
+      state.m_wait.OnWaiting(state.m_wait.Cause(), m_now.m_steady_ms);
+      if (state.m_wait.TotalMs(m_now.m_steady_ms) >= kLoggedGangDelayMs) {
+        AddDelay(step, room, true);
+      }
+    }
+    state.m_wait = {};
+    state.m_wait_logged_ms = 0;
+  }
+
+  void AddDelay(const StepPlacement& step, const GangRoom& room, bool starts) {
+    const StepState& state = step.State();
+    m_result.m_gang_delays.push_back(
+        {step.OwningJob().m_spec.m_id, ToString(step.Step().Ref()),
+         state.m_tasks.size(), starts, state.m_wait.TotalMs(m_now.m_steady_ms),
+         state.m_wait, room.m_when_empty, room.m_now});
+  }
+
   // Starts all members, or none if they do not fit.
   bool StartGang(StepPlacement& step, PoolCapacity& pool, std::int64_t tasks) {
     std::vector<SlotFit> fits;
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -32,6 +32,8 @@
 struct ScheduleResult {
   std::vector<Placement> m_placements;
   std::vector<AdviceRequest> m_advice_requests;
+  // Gangs that start after a long wait or still wait.
+  std::vector<GangDelay> m_gang_delays;
   // VMs that the pass looked at, each time counted: its work.
   std::uint64_t m_vms_examined = 0;
 };
--- a/Source/Core/cell/scheduler_load_test.cc
+++ b/Source/Core/cell/scheduler_load_test.cc
@@ -187,5 +187,32 @@
   }
 }
 
+// Fails if nothing tells what a gang waits for.
+TEST_F(SchedulerLoadTest, GangThatWaitsTellsTheCause) {
+  m_cell.AddVm("vm-0", kVmCapacity);
+  m_cell.Look();
+  StepSpec gang = CellHarness::Step(4, 16'000);
+  gang.m_gang = true;
+  CellRules rules;
+  rules.m_version = 1;
+  rules.m_queues = {m_cell.Queue()};
+  rules.m_teams["team"].m_cap = {48'000, 0, 0};
+  m_cell.Core().OnRules(rules, m_cell.Now());
+  m_cell.Submit(m_cell.Job(1, {gang}, m_cell.Queue(), "team"));
+  m_cell.Run(5'000);
+  ASSERT_FALSE(m_cell.m_gang_delays.empty());
+  const GangDelay& waits = m_cell.m_gang_delays.back();
+  EXPECT_EQ(waits.m_wait.Cause(), GangWaitCause::kTeamLimit);
+  EXPECT_EQ(waits.m_tasks, 4U);
+  EXPECT_FALSE(waits.m_starts);
+  rules.m_version = 2;
+  rules.m_teams["team"].m_cap = {64'000, 0, 0};
+  m_cell.Core().OnRules(rules, m_cell.Now());
+  m_cell.Run(500);
+  EXPECT_TRUE(m_cell.m_gang_delays.back().m_starts);
+  EXPECT_GE(m_cell.m_gang_delays.back().m_wait.Ms(GangWaitCause::kTeamLimit),
+            4'000);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -9,6 +9,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <cstring>
 #include <deque>
 #include <set>
 #include <stdexcept>
@@ -51,6 +52,18 @@
   }
 }
 
+// ": " and the end of the line.
+constexpr std::size_t kHeaderLineBytes = 4;
+
+std::size_t HeaderBytes(const evkeyvalq& headers) {
+  std::size_t bytes = 0;
+  for (const evkeyval* one = headers.tqh_first; one != nullptr;
+       one = one->next.tqe_next) {
+    bytes += std::strlen(one->key) + std::strlen(one->value) + kHeaderLineBytes;
+  }
+  return bytes;
+}
+
 std::string TakeBody(evbuffer* buffer) {
   const std::size_t size = buffer == nullptr ? 0 : evbuffer_get_length(buffer);
   std::string body(size, '\0');
@@ -92,10 +105,15 @@
     exchange->m_peer = peer;
     exchange->m_connection = connection;
     exchange->m_done = std::move(done);
+    exchange->m_purpose = call.m_purpose;
     evhttp_request* request =
         evhttp_request_new(&Implementation::OnDone, exchange.get());
     evhttp_request_set_error_cb(request, &Implementation::OnError);
     Fill(request, peer, call);
+    m_reactor.Traffic().OnSent(
+        call.m_purpose,
+        call.m_target.size() + call.m_body.size() +
+            HeaderBytes(*evhttp_request_get_output_headers(request)));
     const timeval limit = ToTimeval(call.m_timeout);
     evhttp_connection_set_timeout_tv(connection, &limit);
     Exchange* raw = exchange.release();
@@ -138,6 +156,7 @@
     Endpoint m_peer;
     evhttp_connection* m_connection = nullptr;
     Done m_done;
+    TrafficPurpose m_purpose = TrafficPurpose::kOther;
   };
 
   static void Fill(evhttp_request* request, const Endpoint& peer,
@@ -237,8 +256,10 @@
     HttpResponse answer;
     answer.m_status = status;
     answer.m_body = TakeBody(evhttp_request_get_input_buffer(request));
-    const char* connection = evhttp_find_header(
-        evhttp_request_get_input_headers(request), "Connection");
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    client->m_reactor.Traffic().OnReceived(
+        exchange->m_purpose, answer.m_body.size() + HeaderBytes(*headers));
+    const char* connection = evhttp_find_header(headers, "Connection");
     const bool keep =
         connection == nullptr || absl::AsciiStrToLower(connection) != "close";
     client->Finish(exchange, std::move(answer), keep);
@@ -255,6 +276,8 @@
         Forget(exchange->m_peer);
       }
       SendWaiting();
+      const TrafficMeter::Handling handling(m_reactor.Traffic(),
+                                            exchange->m_purpose);
       exchange->m_done(std::move(result));
     }));
   }
@@ -310,7 +333,7 @@
  public:
   Implementation(Reactor& reactor, const Endpoint& endpoint,
                  EventHttpLimits limits, Handler handler)
-      : m_handler(std::move(handler)) {
+      : m_reactor(reactor), m_handler(std::move(handler)) {
     m_server = evhttp_new(reactor.Base());
     Invariant(m_server != nullptr, "evhttp gave no server");
     evhttp_set_max_headers_size(m_server,
@@ -371,7 +394,12 @@
       request.m_headers[absl::AsciiStrToLower(one->key)] = one->value;
     }
     request.m_body = TakeBody(evhttp_request_get_input_buffer(raw));
+    m_reactor.Traffic().OnReceived(
+        TrafficPurpose::kCaller,
+        request.m_path.size() + request.m_body.size() + HeaderBytes(*headers));
     ++m_in_flight;
+    const TrafficMeter::Handling handling(m_reactor.Traffic(),
+                                          TrafficPurpose::kCaller);
     m_handler(std::move(request),
               m_guard.Wrap([this, raw](const HttpResponse& reply) {
                 --m_in_flight;
@@ -390,6 +418,8 @@
     if (m_closing && reply.m_headers.count("Connection") == 0) {
       evhttp_add_header(headers, "Connection", "close");
     }
+    m_reactor.Traffic().OnSent(TrafficPurpose::kCaller,
+                               reply.m_body.size() + HeaderBytes(*headers));
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, reply.m_body.data(), reply.m_body.size());
     // Frees the request, also if its connection is gone.
@@ -397,6 +427,7 @@
     evbuffer_free(body);
   }
 
+  Reactor& m_reactor;
   Handler m_handler;
   CallbackGuard m_guard;
   evhttp* m_server = nullptr;
--- a/Source/Core/transport/event_http_test.cc
+++ b/Source/Core/transport/event_http_test.cc
@@ -121,5 +121,33 @@
   EXPECT_EQ(client.Open(), 1U);
 }
 
+// Fails if bytes are counted for another purpose or not at all: a full link
+// could not be explained.
+TEST_F(EventHttpTest, BytesAreCountedByPurpose) {
+  EventHttpClient client(m_reactor);
+  const TrafficMeter before = m_reactor.Traffic();
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = "/";
+  call.m_body = std::string(1'000, 'x');
+  call.m_purpose = TrafficPurpose::kRunStart;
+  client.Call(m_peer, call, [this](Result<HttpResponse> result) {
+    m_results.push_back(std::move(result));
+  });
+  while (m_results.empty()) {
+    Run(20);
+    AnswerAll();
+  }
+  const TrafficCount& starts =
+      m_reactor.Traffic().Of(TrafficPurpose::kRunStart);
+  EXPECT_EQ(starts.m_sent_messages, 1U);
+  EXPECT_GE(starts.m_sent_bytes, call.m_body.size());
+  EXPECT_GT(starts.m_received_bytes, 0U);
+  EXPECT_GE(m_reactor.Traffic().Of(TrafficPurpose::kCaller).m_received_bytes,
+            call.m_body.size());
+  EXPECT_NE(Describe(m_reactor.Traffic(), before).find("run_start=1/"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/transport/http_client.h
+++ b/Source/Core/transport/http_client.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/result.h"
 #include "transport/http_message.h"
+#include "transport/traffic_meter.h"
 
 namespace mustardslip {
 
@@ -36,6 +37,7 @@
   std::string m_body;
   Milliseconds m_timeout{1'000};
   Connection m_connection = Connection::kReuse;
+  TrafficPurpose m_purpose = TrafficPurpose::kOther;
 };
 
 // Blocking and thread-safe; keeps idle connections for later calls.
--- a/Source/Core/transport/message_link.cc
+++ b/Source/Core/transport/message_link.cc
@@ -73,6 +73,7 @@
   evbuffer* out = bufferevent_get_output(m_stream);
   evbuffer_add(out, &length, kLengthBytes);
   evbuffer_add(out, bytes.data(), bytes.size());
+  m_reactor.Traffic().OnSent(PurposeOf(message), kLengthBytes + bytes.size());
 }
 
 void MessageLink::OnRead(bufferevent*, void* context) {
@@ -104,6 +105,9 @@
       Close(false);
       return;
     }
+    const TrafficPurpose purpose = PurposeOf(*message);
+    m_reactor.Traffic().OnReceived(purpose, kLengthBytes + length);
+    const TrafficMeter::Handling handling(m_reactor.Traffic(), purpose);
     m_handlers.m_on_message(std::move(*message));
   }
 }
@@ -125,6 +129,11 @@
   }
 }
 
+TrafficPurpose MessageLink::PurposeOf(const RpcMessage& message) const {
+  return m_handlers.m_purpose_of ? m_handlers.m_purpose_of(message)
+                                 : TrafficPurpose::kOther;
+}
+
 void MessageLink::Close(bool refused) {
   if (m_stream == nullptr) {
     return;
--- a/Source/Core/transport/message_link.h
+++ b/Source/Core/transport/message_link.h
@@ -27,6 +27,8 @@
     // listens at the address.
     std::function<void(bool refused)> m_on_closed;
     std::function<void()> m_on_connected;
+    // What a message is for; optional.
+    std::function<TrafficPurpose(const RpcMessage&)> m_purpose_of;
   };
 
   // Connects to a peer.
@@ -46,6 +48,7 @@
   void Install();
   void ReadMessages();
   void Close(bool refused);
+  TrafficPurpose PurposeOf(const RpcMessage& message) const;
 
   Reactor& m_reactor;
   Handlers m_handlers;
--- a/Source/Core/transport/reactor.h
+++ b/Source/Core/transport/reactor.h
@@ -16,6 +16,7 @@
 #include "cell/cell_types.h"
 #include "common/result.h"
 #include "transport/socket_util.h"
+#include "transport/traffic_meter.h"
 
 namespace mustardslip {
 
@@ -32,6 +33,10 @@
 
   event_base* Base() const { return m_base.get(); }
 
+  // What the connections on this reactor sent and received.
+  TrafficMeter& Traffic() { return m_traffic; }
+  const TrafficMeter& Traffic() const { return m_traffic; }
+
   // The steady clock counts from the start of the process plus a constant, so
   // that 0 never is a valid time. Unix time is read once at the start and moves
   // with the steady clock: a step of the wall clock does not move schedules.
@@ -89,6 +94,7 @@
   std::unique_ptr<event_base, FreeBase> m_base;
   std::chrono::steady_clock::time_point m_start;
   std::int64_t m_start_unix_ms = 0;
+  TrafficMeter m_traffic;
   // Timers that are pending. Declared after m_base: what their tasks own may
   // need it while it is destroyed.
   std::unordered_map<Timer*, std::unique_ptr<Timer>> m_timers;
--- /dev/null
+++ b/Source/Core/transport/traffic_meter.h
@@ -0,0 +1,78 @@
+// Counts what a daemon sends and receives, by purpose, and the time that it
+// spends on what it receives, so that a full link or a busy daemon can be
+// explained: all calls of a daemon share both.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mustardslip {
+
+enum class TrafficPurpose : std::uint8_t {
+  kOther,
+  kStoreRead,
+  kStoreWatch,
+  kStoreWrite,
+  kStoreLease,
+  kVmPoll,
+  kRunStart,
+  kRunStop,
+  kAdvice,         // The advice service.
+  kAdviceForward,  // Calls to the advice service that a peer makes.
+  kPeerRequest,    // Callers' requests between daemons.
+  kPeerControl,    // Greetings and pings between daemons.
+  kCaller,
+};
+inline constexpr std::size_t kTrafficPurposes = 13;
+
+// A stable name, for logs and metrics.
+std::string_view ToString(TrafficPurpose purpose);
+
+// Messages and bytes of HTTP or link messages, without the framing of TCP.
+struct TrafficCount {
+  std::uint64_t m_sent_messages = 0;
+  std::uint64_t m_sent_bytes = 0;
+  std::uint64_t m_received_bytes = 0;
+  // Time spent in the handlers of what was received.
+  std::chrono::steady_clock::duration m_handling{};
+
+  bool operator==(const TrafficCount&) const = default;
+};
+
+// Not thread-safe.
+class TrafficMeter {
+ public:
+  // Counts the time until it is destroyed as spent on a received message.
+  class Handling {
+   public:
+    Handling(TrafficMeter& meter, TrafficPurpose purpose);
+    ~Handling();
+
+    Handling(const Handling&) = delete;
+    Handling& operator=(const Handling&) = delete;
+
+   private:
+    TrafficMeter& m_meter;
+    const TrafficPurpose m_purpose;
+    const std::chrono::steady_clock::time_point m_start;
+  };
+
+  void OnSent(TrafficPurpose purpose, std::size_t bytes);
+  void OnReceived(TrafficPurpose purpose, std::size_t bytes);
+  const TrafficCount& Of(TrafficPurpose purpose) const;
+
+ private:
+  TrafficCount& At(TrafficPurpose purpose);
+
+  std::array<TrafficCount, kTrafficPurposes> m_counts;
+};
+
+// The traffic since `earlier`, as "purpose=messages/bytes sent/bytes received/
+// milliseconds of handling" for each purpose that had any.
+std::string Describe(const TrafficMeter& now, const TrafficMeter& earlier);
+
+}  // namespace mustardslip
