A small daemon waits longer for a larger one that was killed

Cause: 89 of 97 daemons were killed at 13.1 s, among them all with half a core. A survivor with 0.12 of a core took the free record after 0.28 s. It loaded the log in 2.3 s, was ready at 16.0, served hardly a request, handed the cell over at 17.8, and the next owner had not read the VM list when the store went down at 18.1, so that it was ready only at 23.1.

Change: a daemon that has seen an owner with more CPU waits 2.5 s for each core that it has less, in place of 0.5 s: 0.95 s there, longer than a killed process takes to be back. One that knows of no owner waits as before.

--- a/Source/Core/cell/ownership.h
+++ b/Source/Core/cell/ownership.h
@@ -167,8 +167,12 @@
   static constexpr std::int64_t kCommitTimeoutMs = 600;
   static constexpr std::int64_t kYieldValidMs = 900;
   static constexpr std::int64_t kMillisPerCore = 1'000;
-  static constexpr std::int64_t kMsPerMissingCore = 500;
-  // CPU assumed of an owner before the first record was read.
+  // A process that was killed is back within about a second: a daemon that
+  // knows of an owner with more CPU waits for that, since it takes several
+  // seconds to load the log and may have to hand the cell over again.
+  static constexpr std::int64_t kMsPerMissingCore = 2'500;
+  // The same before the first record was read, and the CPU assumed of an owner.
+  static constexpr std::int64_t kMsPerMissingCoreUnknown = 500;
   static constexpr std::int64_t kDefaultCpuMillis = 500;
 
   typename PrefixFeed<Store, Loop>::Handlers FeedHandlers() {
@@ -244,7 +248,9 @@
     const std::int64_t missing_millis = std::max<std::int64_t>(
         0, m_max_owner_cpu_millis.value_or(kDefaultCpuMillis) -
                m_options.m_cpu_millis);
-    return missing_millis * kMsPerMissingCore / kMillisPerCore +
+    const std::int64_t ms_per_core =
+        m_max_owner_cpu_millis ? kMsPerMissingCore : kMsPerMissingCoreUnknown;
+    return missing_millis * ms_per_core / kMillisPerCore +
            m_options.m_candidacy_jitter_ms;
   }
 
--- a/Source/Core/cell/ownership_test.cc
+++ b/Source/Core/cell/ownership_test.cc
@@ -199,6 +199,24 @@
   EXPECT_TRUE(m_b.m_ownership.Owns());
 }
 
+// All daemons with much CPU are killed at once, and one is back after 600 ms.
+// Fails if the small daemon has taken the cell by then: it took 2.6 s to be
+// ready, handed the cell over, and nothing was served meanwhile.
+TEST_F(OwnershipTest, SmallDaemonWaitsForKilledOnesToComeBack) {
+  StartAll();
+  m_a.m_store.m_fault = Fault::kSilent;
+  m_b.m_store.m_fault = Fault::kSilent;
+  EndLeaseOfOwner();
+  m_loop.Run(600);
+  EXPECT_EQ(m_small.m_acquired, 0);
+  Daemon back(m_state, m_loop, "back");
+  back.m_ownership.Start();
+  m_loop.Run(200);
+  EXPECT_TRUE(back.m_ownership.Owns());
+  m_loop.Run(1'000);
+  EXPECT_EQ(m_small.m_acquired, 0);
+}
+
 // Fails if a small daemon does not take the cell when no other candidate is
 // left.
 TEST_F(OwnershipTest, SmallDaemonTakesTheCellWithoutOtherCandidates) {
