Large gangs that are late get their turn beside work that is on time

Cause: a step that misses its objective goes behind all that can be on time, of every priority. Under a full load something on time takes each piece of room that becomes free. A small step still finds some; a large gang needs the room of 10 to 40 recommended VMs at once. gang_waits shows it: gangs of 40 to 100 tasks that became late in the store's outage wait 20 to 30 s, most of it for room (recommended VMs that hold 280 to 700 members when empty, 0 to 12 now), and start when the traffic ends; and for their team's cap, of which later steps take what is freed.

Change: gangs that need more than one in 64 of a pool's capacity, are late and still of use (three objectives) are served first, the longest overdue first, for one in 40 of the pool's capacity; they reserve room and their team's cap as long as they wait.

LateLargeGangStartsBesideWorkThatIsOnTime fails before (0 of 24 members run).

--- a/Source/Core/cell/ready_steps.h
+++ b/Source/Core/cell/ready_steps.h
@@ -54,9 +54,15 @@
              VisitRange({priority, true, now_unix_ms}, {priority, true, kMax},
                         visit);
     });
-    if (!visited_all) {
-      return;
+    if (visited_all) {
+      VisitLate(now_unix_ms, visit);
     }
+  }
+
+  // The same for the steps that miss their objective: the last ones in
+  // scheduling order.
+  template <typename Visitor>
+  void VisitLate(std::int64_t now_unix_ms, Visitor visit) const {
     VisitPriorities([&](std::int64_t priority) {
       return VisitRange({priority, false, kMin}, {priority, false, now_unix_ms},
                         visit) &&
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -2,6 +2,7 @@
 #include "cell/scheduler.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -24,6 +25,15 @@
 // idle behind gangs that wait for each other.
 constexpr int kMinReservingGangs = 2;
 constexpr int kVmsPerGang = 24;
+// Large gangs that miss their objective have the first choice of the capacity
+// of one in kOverdueGangsDivisor VMs: behind all steps that can be on time,
+// they would not start before the load falls. A gang is large if it needs more
+// than one in kLargeGangDivisor of the pool's capacity; a smaller one finds
+// room.
+constexpr std::int64_t kOverdueGangsDivisor = 40;
+constexpr std::int64_t kLargeGangDivisor = 64;
+// A job is of use to its caller until this many times its objective.
+constexpr std::int64_t kUsefulObjectives = 3;
 // Bytes of an order to start a run besides the job's payload.
 constexpr std::int64_t kStartOrderBytes = 350;
 // A gang that waits is logged at this interval, and one that starts if it has
@@ -93,17 +103,24 @@
       pool.m_max_reserving_gangs = std::max(
           kMinReservingGangs,
           static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
+      for (const Slot& slot : pool.m_capacity.Slots()) {
+        pool.m_total_cpu_millis +=
+            slot.m_vm->m_description.m_capacity.m_cpu_millis;
+      }
     }
   }
 
   ScheduleResult Run(const ReadySteps& ready) {
+    PlaceOverdueGangs(ready);
     ready.Visit(m_now.m_unix_ms, [this](const ReadyStep& step) {
       const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
       if (pool == m_pools.end()) {
         return true;
       }
       if (step.Spec().m_gang) {
-        PlaceGang(step, pool->second);
+        if (m_overdue_gangs.count(step.m_state) == 0) {
+          PlaceGang(step, pool->second, false);
+        }
       } else {
         PlaceTasks(step, pool->second);
       }
@@ -121,6 +138,11 @@
     PoolCapacity m_capacity;
     int m_max_reserving_gangs = 0;
     int m_reserving_gangs = 0;
+    std::int64_t m_total_cpu_millis = 0;
+    // Need of the overdue gangs that this pass served, and whether it reached
+    // their share of the pool.
+    std::int64_t m_overdue_cpu_millis = 0;
+    bool m_overdue_share_used = false;
   };
 
   // How many more tasks of this step the team's cap allows.
@@ -286,7 +308,63 @@
 
   // --- Gangs ---
 
-  void PlaceGang(const ReadyStep& ready, Pool& pool) {
+  // Serves the large gangs that miss their objective and are still of use, the
+  // longest overdue first, up to their share of the pool.
+  void PlaceOverdueGangs(const ReadySteps& ready) {
+    std::vector<ReadyStep> overdue;
+    ready.VisitLate(m_now.m_unix_ms, [&](const ReadyStep& step) {
+      if (step.Spec().m_gang && IsOfUse(step)) {
+        overdue.push_back(step);
+      }
+      return true;
+    });
+    std::stable_sort(overdue.begin(), overdue.end(),
+                     [](const ReadyStep& a, const ReadyStep& b) {
+                       return LatestStart(a) < LatestStart(b);
+                     });
+    for (const ReadyStep& step : overdue) {
+      const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
+      if (pool == m_pools.end() || pool->second.m_overdue_share_used ||
+          NeededCpuMillis(step) * kLargeGangDivisor <
+              pool->second.m_total_cpu_millis) {
+        continue;
+      }
+      m_overdue_gangs.insert(step.m_state);
+      PlaceGang(step, pool->second, true);
+      CountOverdue(step, pool->second);
+    }
+  }
+
+  static std::int64_t LatestStart(const ReadyStep& step) {
+    return step.m_state->m_ready_order->m_latest_start_unix_ms;
+  }
+
+  bool IsOfUse(const ReadyStep& step) const {
+    const std::int64_t due = step.m_job->DueUnixMs(step.m_occurrence);
+    const std::int64_t objective =
+        step.m_job->ObjectiveUnixMs(step.m_occurrence) - due;
+    return m_now.m_unix_ms + step.Spec().m_estimate_ms <
+           due + kUsefulObjectives * objective;
+  }
+
+  // Of all members of a gang.
+  static std::int64_t NeededCpuMillis(const ReadyStep& step) {
+    return step.Spec().Charge().m_cpu_millis *
+           static_cast<std::int64_t>(step.m_state->m_tasks.size());
+  }
+
+  // Counts the gang's need against the share of the pool for overdue gangs. The
+  // gang that reaches it is the last one, however large.
+  static void CountOverdue(const ReadyStep& step, Pool& pool) {
+    pool.m_overdue_cpu_millis += NeededCpuMillis(step);
+    pool.m_overdue_share_used =
+        pool.m_overdue_cpu_millis * kOverdueGangsDivisor >=
+        pool.m_total_cpu_millis;
+  }
+
+  // `overdue`: the gang may reserve, whatever others have reserved, and also of
+  // its team's cap.
+  void PlaceGang(const ReadyStep& ready, Pool& pool, bool overdue) {
     const StepState& state = *ready.m_state;
     if (state.m_open > 0 || state.Done()) {
       return;
@@ -294,7 +372,7 @@
     StepPlacement step(ready, m_now.m_steady_ms);
     const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
     const bool may_reserve =
-        pool.m_reserving_gangs < pool.m_max_reserving_gangs;
+        overdue || pool.m_reserving_gangs < pool.m_max_reserving_gangs;
     if (!step.MayHaveTickets() && !may_ask && !may_reserve) {
       NoteWait(step, GangWaitCause::kOtherGangs, {});
       return;
@@ -302,6 +380,9 @@
     const auto tasks = static_cast<std::int64_t>(state.m_tasks.size());
     if (TeamHeadroom(ready) < tasks) {
       NoteWait(step, GangWaitCause::kTeamLimit, {});
+      if (overdue) {
+        ReserveOfTeam(ready, tasks);
+      }
       return;
     }
     const GangRoom room = RoomForGang(step, pool.m_capacity);
@@ -319,6 +400,17 @@
     }
   }
 
+  // Keeps other steps of the team from taking what becomes free of its cap. Not
+  // for a gang that the cap never has room for.
+  void ReserveOfTeam(const ReadyStep& ready, std::int64_t tasks) {
+    const std::string& team = ready.m_job->m_spec.m_team;
+    const Resources& need = ready.Spec().m_resources;
+    const Resources cap = Unlimited(m_rules.m_teams.at(team).m_cap);
+    if (FitCount(need, cap) >= tasks) {
+      m_team_planned[team] = m_team_planned[team] + need * tasks;
+    }
+  }
+
   // How many members the VMs that may run a gang hold.
   struct GangRoom {
     std::int64_t m_when_empty = 0;
@@ -467,6 +559,8 @@
   // By service.
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Resources> m_team_planned;
+  // The steps that PlaceOverdueGangs served.
+  std::set<const StepState*> m_overdue_gangs;
   ScheduleResult m_result;
 };
 
--- a/Source/Core/cell/scheduler_load_test.cc
+++ b/Source/Core/cell/scheduler_load_test.cc
@@ -245,5 +245,42 @@
   EXPECT_EQ(total, 20U);
 }
 
+// A full fleet with a steady stream of small work that is always on time. Fails
+// if a large gang that has missed its objective does not start before the
+// stream ends: the largest gangs starved while small ones were served.
+TEST_F(SchedulerLoadTest, LateLargeGangStartsBesideWorkThatIsOnTime) {
+  constexpr int kPoolVms = 40;
+  constexpr std::uint32_t kGangTasks = 24;
+  for (int i = 0; i < kPoolVms; ++i) {
+    m_cell.AddVm("vm-" + std::to_string(i), kVmCapacity);
+  }
+  m_cell.Look();
+  QueueRules queue = m_cell.Queue();
+  queue.m_stretch = 8;
+  int number = 100;
+  const auto keep_full = [&](int first_to_end) {
+    for (int i = first_to_end; i < first_to_end + 10; ++i) {
+      m_cell.End(i, RunEnd::kDone);
+    }
+    while (number < first_to_end + 200) {
+      m_cell.Submit(m_cell.Job(number, {CellHarness::Step(1, 16'000)}, queue));
+      ++number;
+    }
+    m_cell.Run(100);
+  };
+  keep_full(100);
+  StepSpec gang = CellHarness::Step(kGangTasks, 16'000);
+  gang.m_gang = true;
+  gang.m_estimate_ms = 2'000;
+  QueueRules gangs = m_cell.Queue();
+  gangs.m_target_latency_ms = 1;
+  gangs.m_stretch = 1;
+  m_cell.Submit(m_cell.Job(1, {gang}, gangs));
+  for (int round = 1; round < 50 && m_cell.RunningOf(1) == 0; ++round) {
+    keep_full(100 + 10 * round);
+  }
+  EXPECT_EQ(m_cell.RunningOf(1), kGangTasks);
+}
+
 }  // namespace
 }  // namespace mustardslip
