Give up a task that crashes the VMs which start it

Cause: a run that ended with its VM is lost and takes no attempt, whatever the cause, and nothing counts crashes.

Change: when a VM falls silent, the runs that it was told to start just before are suspects. It has crashed if nobody listens at its address, another VM does, or a newer incarnation of it answers; a VM that is cut off answers nothing and comes back as it was; one that drains is no case. A suspect starts next only where nothing was started for 300 ms, on the VM with the fewest runs, and nothing else starts there for 300 ms, on at most a quarter of a pool: so few runs are lost with it, and a further crash has one suspect. A task is given up after two crashes as the only suspect, or four in all; its job is failed, by a record in the log. A refused connection has a reason of its own (connection_refused).

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -323,6 +323,7 @@
   m_dirty = result.m_more_to_start;
   for (Placement& placement : result.m_placements) {
     Append(RunPlanned{placement.m_task, placement.m_run, placement.m_vm});
+    NoteStart(placement, now);
     m_state.FindRun(placement.m_task, placement.m_run)->m_awaiting_log = true;
     Defer(PlannedStart{std::move(placement)});
   }
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -82,7 +82,8 @@
   void OnOtherIncarnation(const VmIncarnation& asked, const VmReport& report,
                           const CellTime& now);
   // A call to the VM failed or was not answered in time.
-  void OnVmCallFailed(const VmIncarnation& vm, const CellTime& now);
+  void OnVmCallFailed(const VmIncarnation& vm, VmCallFailure failure,
+                      const CellTime& now);
   void OnStartAnswer(const StartAnswer& answer, const CellTime& now);
   void OnStopAnswer(const StopAnswer& answer);
   void OnAdvice(const AdviceAnswer& answer, const CellTime& now);
@@ -215,6 +216,14 @@
   bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
                                 const CellTime& now);
   void MarkRunsLost(VmState& vm, const CellTime& now);
+  void SuspectNewRuns(const VmState& vm, const CellTime& now);
+  void ConfirmCrashOf(const VmState& vm, const CellTime& now);
+  void ConfirmCrashes(const VmState& newer, const CellTime& now);
+  void Confirm(const std::vector<CrashSuspicion>& crashes, const CellTime& now);
+  void RememberLostSuspect(const VmState& vm, const RunKey& key,
+                           const OpenRun& run);
+  void NoteStart(const Placement& placement, const CellTime& now);
+  void GiveUpIfItCrashesVms(const TaskRef& task, const CellTime& now);
   static bool IsForgettable(VmState& vm, const CellTime& now);
   void ExpireVmLeases(const CellTime& now);
   void ReleaseOccurrences(Job& job, const CellTime& now);
@@ -242,6 +251,9 @@
   std::vector<Effect> m_effects;
   // Jobs with a first confirmed run that no log record shows yet.
   std::vector<std::string> m_newly_confirmed;
+  // Suspects of VMs whose lease expired before a newer incarnation answered, as
+  // crashes to confirm.
+  std::map<VmIncarnation, std::vector<CrashSuspicion>> m_lost_suspects;
   bool m_dirty = true;
   bool m_store_writable = true;
   // Owner's steady clock when recovery finished.
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -56,7 +56,7 @@
 
 void CellCore::OnOtherIncarnation(const VmIncarnation& asked,
                                   const VmReport& report, const CellTime& now) {
-  OnVmCallFailed(asked, now);
+  OnVmCallFailed(asked, VmCallFailure::kNoAnswer, now);
   if (report.m_vm.m_born > asked.m_born) {
     // Unlisted, and so without starts, until its own entry gives its capacity.
     VmState& vm = m_state.FindOrCreateVm(report.m_vm);
@@ -74,6 +74,7 @@
 // they listed are lost. Other runs may be on this one: calls name a VM by its
 // id alone.
 void CellCore::EndEarlierIncarnations(const VmState& vm, const CellTime& now) {
+  ConfirmCrashes(vm, now);
   for (VmState* life : m_state.IncarnationsOf(vm.Incarnation().m_id)) {
     if (life->Incarnation().m_born >= vm.Incarnation().m_born) {
       continue;
@@ -111,7 +112,8 @@
   ++m_counters.m_carried_over;
 }
 
-void CellCore::OnVmCallFailed(const VmIncarnation& life, const CellTime& now) {
+void CellCore::OnVmCallFailed(const VmIncarnation& life, VmCallFailure failure,
+                              const CellTime& now) {
   VmState* vm = m_state.FindVm(life);
   if (vm == nullptr) {
     return;
@@ -119,6 +121,10 @@
   vm->m_poll_due_ms = 0;
   if (vm->m_first_failed_call_ms == 0) {
     vm->m_first_failed_call_ms = std::max<std::int64_t>(1, now.m_steady_ms);
+    SuspectNewRuns(*vm, now);
+  }
+  if (failure == VmCallFailure::kGone) {
+    ConfirmCrashOf(*vm, now);
   }
 }
 
@@ -191,6 +197,9 @@
     if (run != nullptr && MayRunOnNewerIncarnation(vm, *run, now)) {
       continue;
     }
+    if (run != nullptr) {
+      RememberLostSuspect(vm, key, *run);
+    }
     CloseRun(key.first, key.second, vm.Incarnation(), RunEnd::kLost, "", 0,
              now);
   }
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -31,6 +31,8 @@
   std::vector<ReportedEnd> m_ended;
   std::uint64_t m_last_end = 0;
   bool m_reachable = true;
+  // What a call tells while the VM is not reachable.
+  VmCallFailure m_failure = VmCallFailure::kNoAnswer;
   // If false, starts are executed but not answered.
   bool m_answers_starts = true;
   // If true, starts are kept in m_late_starts, neither executed nor answered.
@@ -215,7 +217,7 @@
     for (const VmIncarnation& asked : polled) {
       VmState* state = m_core->State().FindVm(asked);
       if (!vm.m_reachable) {
-        m_core->OnVmCallFailed(asked, Now());
+        m_core->OnVmCallFailed(asked, vm.m_failure, Now());
       } else if (asked != actual) {
         m_core->OnOtherIncarnation(asked, Report(vm), Now());
       } else {
--- a/Source/Core/cell/cell_platform.h
+++ b/Source/Core/cell/cell_platform.h
@@ -34,9 +34,10 @@
 using AdviceDone = std::function<void(AdviceAnswer)>;
 
 // Errors of Hold and Stop: kStaleEpoch if the VM has seen a higher fence,
-// kNotFound if another VM answered, otherwise transport errors. A call names
-// the VM by its id alone, so a later incarnation under the same id executes it
-// too: the report of Hold carries the incarnation that answered.
+// kNotFound if another VM answered, kUnavailable with the reason
+// kConnectionRefused if nobody listens, otherwise transport errors. A call
+// names the VM by its id alone, so a later incarnation under the same id
+// executes it too: the report of Hold carries the incarnation that answered.
 // Implementations never resend a call.
 template <typename V>
 concept VmControl = requires(V vms, const PollRequest& hold,
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -23,6 +23,14 @@
   }
 }
 
+void AppendCrashes(const TaskRef& task, const CrashedRuns& crashes,
+                   std::vector<LogRecord>& records) {
+  for (const std::uint32_t run : crashes.m_all.Runs()) {
+    records.push_back(
+        CrashSuspicion{task, run, crashes.m_alone.Has(run), true});
+  }
+}
+
 }  // namespace
 
 void CellState::Apply(const LogRecord& record) {
@@ -310,6 +318,29 @@
   }
 }
 
+void CellState::ApplyOne(const CrashSuspicion& record) {
+  const auto place = ResolveTask(record.m_task);
+  if (!place) {
+    return;
+  }
+  if (record.m_confirmed) {
+    CrashedRuns& crashes =
+        place->m_step.CrashesOf(place->m_spec, record.m_task.m_index);
+    crashes.m_all.Add(record.m_run);
+    if (record.m_alone) {
+      crashes.m_alone.Add(record.m_run);
+    }
+    if (OpenRun* run = FindRun(record.m_task, record.m_run)) {
+      run->m_suspicion = OpenRun::Suspicion::kNone;
+    }
+    return;
+  }
+  if (OpenRun* run = FindRun(record.m_task, record.m_run)) {
+    run->m_suspicion = record.m_alone ? OpenRun::Suspicion::kAlone
+                                      : OpenRun::Suspicion::kWithOthers;
+  }
+}
+
 void CellState::ApplyOne(const JobEnded& record) {
   const auto [found, created] = m_jobs.try_emplace(record.m_job);
   if (!created) {
@@ -358,13 +389,20 @@
                                      task.m_failures.Count(), task.m_done,
                                      task.m_checkpoint});
       AppendFailures(ref, task.m_failures, records);
+      AppendCrashes(ref, task.m_crashes, records);
     }
     for (const OpenRun& run : task.m_open) {
       open.push_back(RunPlanned{ref, run.m_number, run.m_vm});
+      if (run.m_suspicion != OpenRun::Suspicion::kNone) {
+        open.push_back(CrashSuspicion{
+            ref, run.m_number, run.m_suspicion == OpenRun::Suspicion::kAlone,
+            false});
+      }
     }
   }
   ref.m_index = 0;
   AppendFailures(ref, step.m_gang_failures, records);
+  AppendCrashes(ref, step.m_gang_crashes, records);
 }
 
 std::vector<LogRecord> CellState::Snapshot() const {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -90,6 +90,7 @@
   void ApplyOne(const JobProgress& record);
   void ApplyOne(const JobEnded& record);
   void ApplyOne(const FailedRunSnapshot& record);
+  void ApplyOne(const CrashSuspicion& record);
   static void AppendStepSnapshot(const Job& job, TaskRef ref,
                                  const StepState& step,
                                  std::vector<LogRecord>& records,
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -161,6 +161,8 @@
   std::int64_t m_max_attempts = 0;
   // Version of the configuration in force at the owner.
   std::int64_t m_configuration = 0;
+  // The runs are those under which a VM crashed, and no limit of attempts.
+  bool m_crashes_vms = false;
 
   bool operator==(const JobFailure&) const = default;
 };
@@ -170,6 +172,12 @@
 
 // --- Events ---
 
+// What a failed call tells of a VM.
+enum class VmCallFailure : std::uint8_t {
+  kNoAnswer,  // It is cut off, stopped, overloaded or gone.
+  kGone,      // Nobody listens at its address, or another VM does.
+};
+
 // A run that a VM reports as running.
 struct ReportedRun {
   TaskRef m_task;
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -56,6 +56,8 @@
 void LogDecisions(const std::vector<LogRecord>& records) {
   std::map<StepRef, RunList> planned;
   std::map<std::pair<StepRef, RunEnd>, RunList> ended;
+  // By whether the crash is confirmed.
+  std::map<std::pair<StepRef, bool>, RunList> crashes;
   for (const LogRecord& record : records) {
     if (const auto* accepted = std::get_if<JobAccepted>(&record)) {
       const WorkflowSpec& spec = accepted->m_spec;
@@ -73,8 +75,15 @@
     } else if (const auto* end = std::get_if<RunEnded>(&record)) {
       ended[{StepOf(end->m_task), end->m_end}].Add(end->m_task, end->m_run,
                                                    end->m_vm.m_id);
+    } else if (const auto* crash = std::get_if<CrashSuspicion>(&record)) {
+      crashes[{StepOf(crash->m_task), crash->m_confirmed}].Add(
+          crash->m_task, crash->m_run, crash->m_alone ? "alone" : "others");
     }
   }
+  for (const auto& [key, runs] : crashes) {
+    LogRuns(key.second ? "vm_crashed_under" : "vm_silent_after_start",
+            key.first, runs, "");
+  }
   for (const auto& [step, runs] : planned) {
     LogRuns("runs_planned", step, runs, "");
   }
@@ -92,6 +101,7 @@
   Log(LogLevel::kInfo, LogCategory::kCell, "job_failed",
       {{"job", task.m_job},
        {"step", ToString(StepOf(task))},
+       {"reason", failure.m_crashes_vms ? "crashes_vms" : "failed_attempts"},
        {"runs", runs.m_text},
        {"failures", failure.m_failures},
        {"max_attempts", failure.m_max_attempts},
--- a/Source/Core/cell/failed_runs.h
+++ b/Source/Core/cell/failed_runs.h
@@ -31,6 +31,9 @@
     m_count = std::max(before, count);
   }
 
+  bool Has(std::uint32_t run) const {
+    return std::binary_search(m_runs.begin(), m_runs.end(), run);
+  }
   std::uint32_t Count() const { return m_count; }
   // In ascending order.
   const std::vector<std::uint32_t>& Runs() const { return m_runs; }
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -52,6 +52,11 @@
   // Volatile.
   RunProgress m_progress;
 
+  // The VM fell silent right after the start; with other runs that were
+  // started there just before, or without.
+  enum class Suspicion : std::uint8_t { kNone, kWithOthers, kAlone };
+  Suspicion m_suspicion = Suspicion::kNone;
+
   // Later than any time on a VM's clock.
   static constexpr std::int64_t kUnknownVmTime = INT64_MAX;
 
@@ -59,10 +64,27 @@
   bool Listed() const { return m_progress.Reported(); }
 };
 
+// Runs under which a VM crashed right after it was told to start them.
+struct CrashedRuns {
+  FailedRuns m_all;
+  // Those before which no other run was started on the VM.
+  FailedRuns m_alone;
+
+  // True if the task is more likely to be the cause than what shared its VMs:
+  // as the only new run twice, or among others once more than the runs that a
+  // task needs to show it.
+  bool ShowTheCause() const {
+    constexpr std::uint32_t kMaxAlone = 2;
+    constexpr std::uint32_t kMaxAll = 4;
+    return m_alone.Count() >= kMaxAlone || m_all.Count() >= kMaxAll;
+  }
+};
+
 struct TaskState {
   std::uint32_t m_last_run = 0;
   // Not used for members of a gang, which fail together.
   FailedRuns m_failures;
+  CrashedRuns m_crashes;
   bool m_done = false;
   // The newest checkpoint known; empty for none.
   std::string m_checkpoint;
@@ -100,6 +122,7 @@
   std::uint32_t m_open = 0;
   // Gangs only: failed runs, each counted once regardless of its members.
   FailedRuns m_gang_failures;
+  CrashedRuns m_gang_crashes;
   std::uint32_t m_last_run = 0;
   // Volatile, by VM id.
   std::map<std::string, Advice> m_advice;
@@ -129,6 +152,18 @@
   const FailedRuns& FailuresOf(const StepSpec& spec, std::uint32_t task) const {
     return spec.m_gang ? m_gang_failures : m_tasks[task].m_failures;
   }
+  // The same for crashes of VMs.
+  CrashedRuns& CrashesOf(const StepSpec& spec, std::uint32_t task) {
+    return spec.m_gang ? m_gang_crashes : m_tasks[task].m_crashes;
+  }
+  const CrashedRuns& CrashesOf(const StepSpec& spec, std::uint32_t task) const {
+    return spec.m_gang ? m_gang_crashes : m_tasks[task].m_crashes;
+  }
+  // True if a VM crashed under the task: its next start is kept apart from
+  // others, so that a further crash shows the cause.
+  bool IsSuspect(const StepSpec& spec, std::uint32_t task) const {
+    return CrashesOf(spec, task).m_all.Count() > 0;
+  }
 };
 
 struct Occurrence {
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -193,6 +193,12 @@
     m_out.Unsigned(record.m_failures);
     m_out.Unsigned(record.m_run);
   }
+  void operator()(const CrashSuspicion& record) const {
+    Write(m_out, record.m_task);
+    m_out.Unsigned(record.m_run);
+    m_out.Bool(record.m_alone);
+    m_out.Bool(record.m_confirmed);
+  }
 };
 
 JobAccepted ReadJobAccepted(ByteReader& in) {
@@ -290,6 +296,14 @@
       record.m_run = static_cast<std::uint32_t>(in.Unsigned());
       return record;
     }
+    case 9: {
+      CrashSuspicion record;
+      record.m_task = ReadTask(in);
+      record.m_run = static_cast<std::uint32_t>(in.Unsigned());
+      record.m_alone = in.Bool();
+      record.m_confirmed = in.Bool();
+      return record;
+    }
     default:
       return Fail(ErrorCode::kInvalidArgument, "unknown_log_record");
   }
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -122,6 +122,19 @@
   bool operator==(const FailedRunSnapshot&) const = default;
 };
 
+// A VM fell silent right after it was told to start the run. Written again with
+// m_confirmed once it is known that the VM crashed. Also in snapshots.
+struct CrashSuspicion {
+  // For a gang the index is not significant.
+  TaskRef m_task;
+  std::uint32_t m_run = 0;
+  // No other run was started on the VM just before.
+  bool m_alone = false;
+  bool m_confirmed = false;
+
+  bool operator==(const CrashSuspicion&) const = default;
+};
+
 enum class JobResult : std::uint8_t {
   kComplete = 0,
   kFailed = 1,
@@ -139,9 +152,9 @@
   bool operator==(const JobEnded&) const = default;
 };
 
-using LogRecord =
-    std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded, TaskSnapshot,
-                 VmSnapshot, JobProgress, JobEnded, FailedRunSnapshot>;
+using LogRecord = std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded,
+                               TaskSnapshot, VmSnapshot, JobProgress, JobEnded,
+                               FailedRunSnapshot, CrashSuspicion>;
 
 // About the bytes that the record takes in a log write.
 std::size_t EstimatedSize(const LogRecord& record);
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -25,6 +25,11 @@
 // idle behind gangs that wait for each other.
 constexpr int kMinReservingGangs = 2;
 constexpr int kVmsPerGang = 24;
+// A suspect of a crash (cell_core_crashes.cc) starts only where nothing was
+// started for this long.
+constexpr std::int64_t kQuietMs = 300;
+// At most one in this many VMs is kept for suspects at a time.
+constexpr std::size_t kProbationDivisor = 4;
 // Large gangs that miss their objective have the first choice of the capacity
 // of one in kOverdueGangsDivisor VMs: behind all steps that can be on time,
 // they would not start before the load falls. A gang is large if it needs more
@@ -94,8 +99,14 @@
         m_free_advice_calls(free_advice_calls),
         m_start_bytes_left(max_start_bytes) {
     for (auto& [life, vm] : m_state.Vms()) {
-      if (IsUsable(vm, now.m_steady_ms)) {
-        m_pools[vm.m_description.m_service].m_capacity.Add(vm);
+      if (!IsUsable(vm, now.m_steady_ms)) {
+        continue;
+      }
+      Pool& pool = m_pools[vm.m_description.m_service];
+      if (vm.m_probation_until_ms > now.m_steady_ms) {
+        ++pool.m_on_probation;
+      } else {
+        pool.m_capacity.Add(vm);
       }
     }
     for (auto& [service, pool] : m_pools) {
@@ -136,6 +147,8 @@
  private:
   struct Pool {
     PoolCapacity m_capacity;
+    // VMs that are left out as a suspect was just started there.
+    std::size_t m_on_probation = 0;
     int m_max_reserving_gangs = 0;
     int m_reserving_gangs = 0;
     std::int64_t m_total_cpu_millis = 0;
@@ -171,6 +184,7 @@
     m_start_bytes_left -=
         kStartOrderBytes +
         static_cast<std::int64_t>(step.OwningJob().m_spec.m_payload.size());
+    m_planned_vms.insert(slot.m_vm);
     pool.Reserve(slot, step.Spec().Charge());
     step.CountPlaced(slot);
     Resources& planned = m_team_planned[step.OwningJob().m_spec.m_team];
@@ -191,8 +205,7 @@
     }
     const std::int64_t waiting =
         std::min(WaitingTasks(state), TeamHeadroom(ready));
-    const std::int64_t placed =
-        may_start ? StartTasks(step, pool.m_capacity, waiting) : 0;
+    const std::int64_t placed = may_start ? StartTasks(step, pool, waiting) : 0;
     if (waiting - placed <= 0 || !step.NeedsAdvice()) {
       return;
     }
@@ -204,21 +217,29 @@
   }
 
   // Starts up to `waiting` tasks in order. Returns the number started.
-  std::int64_t StartTasks(StepPlacement& step, PoolCapacity& pool,
+  std::int64_t StartTasks(StepPlacement& step, Pool& pool,
                           std::int64_t waiting) {
     const std::vector<TaskState>& tasks = step.State().m_tasks;
-    const std::vector<Slot*> slots = StartableSlots(step, pool);
+    const std::vector<Slot*> slots = StartableSlots(step, pool.m_capacity);
     std::int64_t placed = 0;
     for (std::uint32_t i = 0;
          i < tasks.size() && placed < waiting && m_start_bytes_left > 0; ++i) {
       if (tasks[i].m_done || !tasks[i].m_open.empty()) {
         continue;
       }
-      Slot* slot = BestSlot(step, tasks[i], slots);
+      const bool suspect = step.State().IsSuspect(step.Spec(), i);
+      Slot* slot = suspect ? QuietSlot(step, pool, slots)
+                           : BestSlot(step, tasks[i], slots);
+      if (slot == nullptr && suspect) {
+        continue;
+      }
       if (slot == nullptr) {
         break;
       }
-      Plan(step, pool, *slot, i, tasks[i].m_last_run + 1);
+      Plan(step, pool.m_capacity, *slot, i, tasks[i].m_last_run + 1);
+      if (suspect) {
+        KeepApart(pool, *slot);
+      }
       ++placed;
     }
     return placed;
@@ -242,6 +263,36 @@
     return slots;
   }
 
+  // --- Suspects of crashes ---
+
+  // True if a suspect may start there: a crash will have no other suspect.
+  bool IsQuiet(const Pool& pool, const Slot& slot) const {
+    const bool full = pool.m_on_probation * kProbationDivisor >=
+                      pool.m_capacity.Slots().size();
+    return !full && m_planned_vms.count(slot.m_vm) == 0 &&
+           m_now.m_steady_ms - slot.m_vm->m_last_start_ms >= kQuietMs;
+  }
+
+  // The quiet VM on which a crash would end the fewest runs, or null.
+  Slot* QuietSlot(const StepPlacement& step, const Pool& pool,
+                  const std::vector<Slot*>& slots) const {
+    Slot* best = nullptr;
+    for (Slot* slot : slots) {
+      if (step.Fit(*slot) > 0 && IsQuiet(pool, *slot) &&
+          (best == nullptr ||
+           slot->m_vm->m_open.size() < best->m_vm->m_open.size())) {
+        best = slot;
+      }
+    }
+    return best;
+  }
+
+  // Nothing else is planned there by this pass; CellCore sets the probation.
+  static void KeepApart(Pool& pool, Slot& slot) {
+    pool.m_capacity.ReserveAll(slot);
+    ++pool.m_on_probation;
+  }
+
   static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
                         const std::vector<Slot*>& slots) {
     Slot* best = nullptr;
@@ -386,7 +437,7 @@
       return;
     }
     const GangRoom room = RoomForGang(step, pool.m_capacity);
-    if (step.MayHaveTickets() && StartGang(step, pool.m_capacity, tasks)) {
+    if (step.MayHaveTickets() && StartGang(step, pool, tasks)) {
       NoteStart(step, room);
       return;
     }
@@ -481,10 +532,13 @@
   }
 
   // Starts all members, or none if they do not fit.
-  bool StartGang(StepPlacement& step, PoolCapacity& pool, std::int64_t tasks) {
+  bool StartGang(StepPlacement& step, Pool& pool, std::int64_t tasks) {
+    const bool suspect = step.State().IsSuspect(step.Spec(), 0);
     std::vector<SlotFit> fits;
-    for (Slot* slot : StartableSlots(step, pool)) {
-      fits.push_back({slot, step.Fit(*slot)});
+    for (Slot* slot : StartableSlots(step, pool.m_capacity)) {
+      if (!suspect || IsQuiet(pool, *slot)) {
+        fits.push_back({slot, step.Fit(*slot)});
+      }
     }
     if (TotalFit(fits) < tasks) {
       return false;
@@ -496,10 +550,16 @@
     const std::uint32_t run = step.State().m_last_run + 1;
     std::uint32_t index = 0;
     for (const auto& [slot, fit] : fits) {
+      if (index == tasks) {
+        break;
+      }
       for (std::int64_t i = 0; i < fit && index < tasks; ++i) {
-        Plan(step, pool, *slot, index, run);
+        Plan(step, pool.m_capacity, *slot, index, run);
         ++index;
       }
+      if (suspect) {
+        KeepApart(pool, *slot);
+      }
     }
     return true;
   }
@@ -559,6 +619,8 @@
   // By service.
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Resources> m_team_planned;
+  // VMs on which this pass plans a start.
+  std::set<const VmState*> m_planned_vms;
   // The steps that PlaceOverdueGangs served.
   std::set<const StepState*> m_overdue_gangs;
   ScheduleResult m_result;
--- a/Source/Core/cell/vm_poller.h
+++ b/Source/Core/cell/vm_poller.h
@@ -20,6 +20,7 @@
 #include "cell/vm_pace.h"
 #include "common/callback_guard.h"
 #include "common/logger.h"
+#include "transport/http_client.h"
 
 namespace mustardslip {
 
@@ -175,6 +176,14 @@
     return false;
   }
 
+  static VmCallFailure FailureOf(const Error& error) {
+    const bool refused = error.Code() == ErrorCode::kUnavailable &&
+                         error.Reason() == kConnectionRefused;
+    return refused || error.Code() == ErrorCode::kNotFound
+               ? VmCallFailure::kGone
+               : VmCallFailure::kNoAnswer;
+  }
+
   // Nothing runs on the VM, and all its ends were acknowledged.
   static bool Idle(const VmState& vm) {
     return vm.m_fenced && vm.m_open.empty() && !vm.HasUnacknowledgedEnds();
@@ -255,7 +264,7 @@
              {"reason", report.error().Reason()},
              {"open_runs", vm->m_open.size()}});
       }
-      m_core.OnVmCallFailed(life, now);
+      m_core.OnVmCallFailed(life, FailureOf(report.error()), now);
     }
     m_handlers.m_on_event();
   }
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -88,6 +88,11 @@
   // Owner's steady clock: the first of the consecutive failed polls; 0 if the
   // last one was answered.
   std::int64_t m_first_failed_call_ms = 0;
+  // Owner's steady clock: when a start was last planned or sent; 0 for never.
+  std::int64_t m_last_start_ms = 0;
+  // Owner's steady clock: no other starts before this, as a task under which
+  // another VM crashed was just started here.
+  std::int64_t m_probation_until_ms = 0;
   // Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
   // Owner's steady clock: no starts before this if other VMs have capacity. The
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -249,8 +249,11 @@
     }
     const int status = evhttp_request_get_response_code(request);
     if (status == 0) {
-      client->Finish(exchange,
-                     Fail(ErrorCode::kUnavailable, "connection_failed"), false);
+      // evhttp passes a request without a status only if it was refused.
+      client->Finish(
+          exchange,
+          Fail(ErrorCode::kUnavailable, std::string(kConnectionRefused)),
+          false);
       return;
     }
     HttpResponse answer;
--- a/Source/Core/transport/http_client.h
+++ b/Source/Core/transport/http_client.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/clock.h"
@@ -22,6 +23,9 @@
   auto operator<=>(const Endpoint&) const = default;
 };
 
+// Reason of kUnavailable if nobody listens at the peer's address.
+inline constexpr std::string_view kConnectionRefused = "connection_refused";
+
 // Parses `host:port`. Errors: kInvalidArgument.
 Result<Endpoint> ParseEndpoint(const std::string& text);
 std::string ToString(const Endpoint& endpoint);
