--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -567,5 +567,30 @@
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
 }
 
+// Fails if a VM whose capacity shrank while runs are there gets starts before
+// it has room again, or none once it has grown.
+TEST_F(CellCoreTest, VmWhoseCapacityShrankIsNotOverfilled) {
+  SimulatedVm& vm = m_cell.AddVm("vm-0", {16'000, 0, 0});
+  m_cell.Look();
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(3, 4'000)}));
+  m_cell.Run(200);
+  ASSERT_EQ(m_cell.RunningOf(1), 3U);
+  vm.m_description.m_capacity = {8'000, 0, 0};
+  m_cell.List("vm-0");
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(2, 4'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(2), 0U);
+  m_cell.End(1, RunEnd::kDone);
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(2), 2U);
+  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(2, 4'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(3), 0U);
+  vm.m_description.m_capacity = {16'000, 0, 0};
+  m_cell.List("vm-0");
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(3), 2U);
+}
+
 }  // namespace
 }  // namespace mustardslip
