A pool whose VMs are all on probation takes no part in a pass

A pool of one VM on probation stayed in the pass without a VM, and the choice of VMs for advice divides by their number: undefined, a signal on x86-64. Such a pool is left out, as one without usable VMs always was. Also: a commit that waits for its interval is not delayed to the interval at which a busy link is looked at.

--- a/Source/Core/cell/cell_core_crashes_test.cc
+++ b/Source/Core/cell/cell_core_crashes_test.cc
@@ -208,5 +208,28 @@
   EXPECT_LE(m_crashes, kMaxStarts);
 }
 
+// Fails if a pass divides by the number of usable VMs while the only VM of a
+// pool is on probation.
+TEST_F(CellCoreCrashesTest, PoolOfOneVmMayBeOnProbation) {
+  CellHarness cell;
+  cell.AddVm("vm-0", kVmCapacity);
+  cell.Look();
+  QueueRules queue = cell.Queue();
+  queue.m_needs_advice = true;
+  queue.m_advice_base_ms = 16;
+  cell.Submit(cell.Job(1, {CellHarness::Step(1, 8'000)}, queue));
+  cell.Run(200);
+  ASSERT_EQ(cell.RunningOf(1), 1U);
+  cell.Core().State().FindVm({"vm-0", 1})->m_probation_until_ms =
+      cell.Now().m_steady_ms + 10'000;
+  cell.Submit(cell.Job(2, {CellHarness::Step(1, 8'000)}, queue));
+  const std::size_t asked = cell.m_asked.size();
+  cell.Run(1'000);
+  EXPECT_EQ(cell.RunningOf(2), 0U);
+  EXPECT_EQ(cell.m_asked.size(), asked);
+  cell.Run(10'000);
+  EXPECT_EQ(cell.RunningOf(2), 1U);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -335,8 +335,12 @@
       }
       return;
     }
-    if (wait_ms > 0 || LinkIsBusy(now)) {
-      CommitLater(std::max(wait_ms, kLinkCheckMs));
+    if (wait_ms > 0) {
+      CommitLater(wait_ms);
+      return;
+    }
+    if (LinkIsBusy(now)) {
+      CommitLater(kLinkCheckMs);
       return;
     }
     {
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -109,6 +109,10 @@
         pool.m_capacity.Add(vm);
       }
     }
+    // All VMs of a small pool may be on probation.
+    std::erase_if(m_pools, [](const auto& entry) {
+      return entry.second.m_capacity.Slots().empty();
+    });
     for (auto& [service, pool] : m_pools) {
       pool.m_capacity.Finish(now.m_steady_ms);
       pool.m_max_reserving_gangs = std::max(
