Read again: one timer, one way to fail a job, one walk over a step's VMs

TrafficMeter::Handling and WorkMeter::Span were the same timer: ScopedTimer serves both. FailIfNoAttemptIsLeft and GiveUpIfItCrashesVms wrote the same record and line: FailJob. ReserveForGang and RoomForGang walked the same VMs: VisitAllowed. The size of a submission was estimated from a copy of it, with its payload, twice for each: it is taken from the specification now. Each scheduling pass computed the objective of every late gang, small ones too, which allocates: the size is checked first. The head comment of cell_core_crashes.cc told half of how a crash is confirmed.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -191,6 +191,7 @@
                 const VmIncarnation& vm, const CellTime& now);
   bool ApplyRules(WorkflowSpec& spec) const;
   void FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now);
+  void FailJob(const Job& job, JobFailure failure, const CellTime& now);
   void FailJobsWithoutAttempts(const std::vector<std::string>& jobs,
                                const CellTime& now);
   static void UpdateVmHealth(VmState& vm, Job& job, RunEnd end,
--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -3,9 +3,11 @@
 //
 // The suspects of a crash are the runs that the VM was told to start just
 // before it fell silent. A suspect's next start is kept apart from others
-// (Scheduler), so that a further crash has one suspect. A VM that answers again
-// as the same incarnation was cut off and has not crashed. Suspicions and
-// crashes are log records: a new owner knows them, and a run counts once.
+// (Scheduler), so that a further crash has one suspect. The VM has crashed if
+// nobody listens at its address, another VM answers there, or a newer
+// incarnation of it does; one that answers again as it was, or never, was cut
+// off. Suspicions and crashes are log records: a new owner knows them, and a
+// run counts once.
 #include <set>
 #include <tuple>
 #include <utility>
@@ -127,14 +129,12 @@
   if (!crashes.ShowTheCause()) {
     return;
   }
-  Append(JobProgress{task.m_job, now.m_unix_ms, true, true, job->m_confirmed});
   JobFailure failure;
   failure.m_task = task;
   failure.m_runs = crashes.m_all.Runs();
   failure.m_failures = crashes.m_all.Count();
-  failure.m_configuration = m_rules.m_version;
   failure.m_crashes_vms = true;
-  Defer(std::move(failure));
+  FailJob(*job, std::move(failure), now);
   Defer(StopJob{task.m_job});
 }
 
--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -71,9 +71,21 @@
   if (failures.Count() == 0 || failures.Count() < max_attempts) {
     return;
   }
-  Append(JobProgress{ref.m_job, now.m_unix_ms, true, true, job->m_confirmed});
-  Defer(JobFailure{ref, failures.Runs(), failures.Count(), max_attempts,
-                   m_rules.m_version});
+  JobFailure failure;
+  failure.m_task = ref;
+  failure.m_runs = failures.Runs();
+  failure.m_failures = failures.Count();
+  failure.m_max_attempts = max_attempts;
+  FailJob(*job, std::move(failure), now);
+}
+
+// The caller stops the runs of the job.
+void CellCore::FailJob(const Job& job, JobFailure failure,
+                       const CellTime& now) {
+  failure.m_configuration = m_rules.m_version;
+  Append(
+      JobProgress{job.m_spec.m_id, now.m_unix_ms, true, true, job.m_confirmed});
+  Defer(std::move(failure));
 }
 
 // Fails those of the jobs in which a task that waits for its next run has no
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -344,7 +344,7 @@
       return;
     }
     {
-      const WorkMeter::Span span(m_work, WorkKind::kSchedule);
+      const ScopedTimer timer(m_work.Spent(WorkKind::kSchedule));
       m_core.Schedule(now, m_advice_queue.FreeCalls(), m_link.MaxStartBytes());
     }
     ExecuteEffects();
@@ -365,7 +365,7 @@
   }
 
   void Commit(const CellTime& now) {
-    const WorkMeter::Span span(m_work, WorkKind::kWrite);
+    const ScopedTimer timer(m_work.Spent(WorkKind::kWrite));
     m_last_commit_ms = now.m_steady_ms;
     const std::vector<LogRecord>& batch = m_core.BeginBatch();
     std::shared_ptr<std::vector<LogRecord>> snapshot;
--- a/Source/Core/cell/link_share.h
+++ b/Source/Core/cell/link_share.h
@@ -18,16 +18,17 @@
 
   // Records of one log write, in bytes before they are encoded as text.
   std::int64_t MaxBatchBytes() const {
-    return Within(kMaxBatchMs, kMaxBatchBytes) * kTextDivisor / kTextFactor;
+    return LogBytes(kMaxBatchMs, kMaxBatchBytes);
   }
   // Orders to start runs that one scheduling pass may send, in bytes.
   std::int64_t MaxStartBytes() const {
-    return Within(kMaxStartsMs, std::numeric_limits<std::int64_t>::max());
+    return m_bytes_per_ms == 0 ? std::numeric_limits<std::int64_t>::max()
+                               : kMaxStartsMs * m_bytes_per_ms;
   }
-  // Log after which a snapshot is worth its writing, in bytes: a new owner
-  // reads both over such a link.
+  // Log after which a snapshot is worth its writing, in bytes before they are
+  // encoded as text: a new owner reads both over such a link.
   std::int64_t MinSnapshotBytes() const {
-    return Within(kMaxLoadMs, kMaxSnapshotBytes) * kTextDivisor / kTextFactor;
+    return LogBytes(kMaxLoadMs, kMinSnapshotBytes);
   }
   // Time that a log write of that many bytes takes on the link alone.
   std::int64_t WriteMs(std::int64_t bytes) const {
@@ -41,15 +42,18 @@
   static constexpr std::int64_t kMaxStartsMs = 100;
   static constexpr std::int64_t kMaxLoadMs = 500;
   // The store takes values of up to 1 MB, as text.
-  static constexpr std::int64_t kMaxBatchBytes = 600'000;
-  static constexpr std::int64_t kMaxSnapshotBytes = 666'000;
+  static constexpr std::int64_t kMaxBatchBytes = 450'000;
+  static constexpr std::int64_t kMinSnapshotBytes = 500'000;
   // Values are sent as base64.
   static constexpr std::int64_t kTextFactor = 4;
   static constexpr std::int64_t kTextDivisor = 3;
 
-  std::int64_t Within(std::int64_t ms, std::int64_t most_bytes) const {
-    return m_bytes_per_ms == 0 ? most_bytes
-                               : std::min(most_bytes, ms * m_bytes_per_ms);
+  // What the link carries in `ms`, at most `most_bytes`.
+  std::int64_t LogBytes(std::int64_t ms, std::int64_t most_bytes) const {
+    return m_bytes_per_ms == 0
+               ? most_bytes
+               : std::min(most_bytes,
+                          ms * m_bytes_per_ms * kTextDivisor / kTextFactor);
   }
 
   // 0 for a link that is never full.
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -10,6 +10,8 @@
 
 constexpr std::uint64_t kFormatVersion = 1;
 constexpr double kFractionScale = 1e6;
+// Names of a job, a step and a VM, and numbers: for EstimatedSize.
+constexpr std::size_t kRecordBytes = 60;
 // Flags of JobProgress. Versions without the second one read any flag as the
 // first, which it implies.
 constexpr std::uint64_t kStartedBit = 1;
@@ -318,20 +320,18 @@
   return kNames.at(static_cast<std::size_t>(end));
 }
 
-std::size_t EstimatedSize(const LogRecord& record) {
-  // Names of a job, a step and a VM, and numbers.
-  constexpr std::size_t kRecordBytes = 60;
+std::size_t EstimatedSize(const WorkflowSpec& spec) {
   constexpr std::size_t kQueueBytes = 60;
   constexpr std::size_t kStepBytes = 30;
-  const auto* accepted = std::get_if<JobAccepted>(&record);
-  if (accepted == nullptr) {
-    return kRecordBytes;
-  }
-  const WorkflowSpec& spec = accepted->m_spec;
   return kRecordBytes + kQueueBytes + spec.m_payload.size() +
          kStepBytes * spec.m_steps.size();
 }
 
+std::size_t EstimatedSize(const LogRecord& record) {
+  const auto* accepted = std::get_if<JobAccepted>(&record);
+  return accepted == nullptr ? kRecordBytes : EstimatedSize(accepted->m_spec);
+}
+
 std::string EncodeRecords(const std::vector<LogRecord>& records) {
   ByteWriter out;
   out.Unsigned(kFormatVersion);
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -156,7 +156,8 @@
                                TaskSnapshot, VmSnapshot, JobProgress, JobEnded,
                                FailedRunSnapshot, CrashSuspicion>;
 
-// About the bytes that the record takes in a log write.
+// About the bytes that an accepted job, or a record, takes in a log write.
+std::size_t EstimatedSize(const WorkflowSpec& spec);
 std::size_t EstimatedSize(const LogRecord& record);
 // Encodes any number of records as one value of the store.
 std::string EncodeRecords(const std::vector<LogRecord>& records);
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -234,10 +234,10 @@
       const bool suspect = step.State().IsSuspect(step.Spec(), i);
       Slot* slot = suspect ? QuietSlot(step, pool, slots)
                            : BestSlot(step, tasks[i], slots);
-      if (slot == nullptr && suspect) {
-        continue;
-      }
       if (slot == nullptr) {
+        if (suspect) {
+          continue;
+        }
         break;
       }
       Plan(step, pool.m_capacity, *slot, i, tasks[i].m_last_run + 1);
@@ -368,7 +368,8 @@
   void PlaceOverdueGangs(const ReadySteps& ready) {
     std::vector<ReadyStep> overdue;
     ready.VisitLate(m_now.m_unix_ms, [&](const ReadyStep& step) {
-      if (step.Spec().m_gang && IsOfUse(step)) {
+      // The objective is worth its computation only for a large gang.
+      if (step.Spec().m_gang && IsLarge(step) && IsOfUse(step)) {
         overdue.push_back(step);
       }
       return true;
@@ -378,18 +379,23 @@
                        return LatestStart(a) < LatestStart(b);
                      });
     for (const ReadyStep& step : overdue) {
-      const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
-      if (pool == m_pools.end() || pool->second.m_overdue_share_used ||
-          NeededCpuMillis(step) * kLargeGangDivisor <
-              pool->second.m_total_cpu_millis) {
+      Pool& pool = m_pools.at(step.m_job->m_spec.m_queue.m_service);
+      if (pool.m_overdue_share_used) {
         continue;
       }
       m_overdue_gangs.insert(step.m_state);
-      PlaceGang(step, pool->second, true);
-      CountOverdue(step, pool->second);
+      PlaceGang(step, pool, true);
+      CountOverdue(step, pool);
     }
   }
 
+  // Compared with its pool; false without a usable VM.
+  bool IsLarge(const ReadyStep& step) const {
+    const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
+    return pool != m_pools.end() && NeededCpuMillis(step) * kLargeGangDivisor >=
+                                        pool->second.m_total_cpu_millis;
+  }
+
   static std::int64_t LatestStart(const ReadyStep& step) {
     return step.m_state->m_ready_order->m_latest_start_unix_ms;
   }
@@ -475,19 +481,29 @@
   static GangRoom RoomForGang(const StepPlacement& step, PoolCapacity& pool) {
     GangRoom room;
     const Resources charge = step.Spec().Charge();
-    const auto add = [&](const Slot& slot) {
+    VisitAllowed(step, pool, [&](const Slot& slot) {
+      room.m_when_empty +=
+          FitCount(charge, slot.m_vm->m_description.m_capacity);
+      room.m_now += step.Fit(slot);
+    });
+    return room;
+  }
+
+  // Calls `visit(slot)` for each VM that may run the step, with a valid ticket
+  // or without.
+  template <typename Visitor>
+  static void VisitAllowed(const StepPlacement& step, PoolCapacity& pool,
+                           Visitor visit) {
+    const auto check = [&](Slot& slot) {
       if (step.HasRequiredLabel(slot)) {
-        room.m_when_empty +=
-            FitCount(charge, slot.m_vm->m_description.m_capacity);
-        room.m_now += step.Fit(slot);
+        visit(slot);
       }
     };
     if (step.NeedsAdvice()) {
-      step.VisitRecommended(pool, add);
+      step.VisitRecommended(pool, check);
     } else {
-      std::for_each(pool.Slots().begin(), pool.Slots().end(), add);
+      std::for_each(pool.Slots().begin(), pool.Slots().end(), check);
     }
-    return room;
   }
 
   GangWaitCause WaitCauseOf(const StepPlacement& step, const GangRoom& room,
@@ -575,17 +591,11 @@
   static void ReserveForGang(const StepPlacement& step, Pool& pool,
                              std::int64_t tasks) {
     std::vector<Slot*> usable;
-    const auto add = [&](Slot& slot) {
-      if (slot.m_free.m_cpu_millis > 0 && step.HasRequiredLabel(slot)) {
+    VisitAllowed(step, pool.m_capacity, [&](Slot& slot) {
+      if (slot.m_free.m_cpu_millis > 0) {
         usable.push_back(&slot);
       }
-    };
-    if (step.NeedsAdvice()) {
-      step.VisitRecommended(pool.m_capacity, add);
-    } else {
-      std::for_each(pool.m_capacity.Slots().begin(),
-                    pool.m_capacity.Slots().end(), add);
-    }
+    });
     if (usable.empty()) {
       return;
     }
--- a/Source/Core/cell/submission_queue.h
+++ b/Source/Core/cell/submission_queue.h
@@ -61,7 +61,7 @@
   static constexpr std::int64_t kMaxWritesWaited = 4;
 
   static std::int64_t SizeOf(const WorkflowSpec& spec) {
-    return static_cast<std::int64_t>(EstimatedSize(JobAccepted{spec, 0}));
+    return static_cast<std::int64_t>(EstimatedSize(spec));
   }
 
   Entry Remove(std::deque<Entry>::iterator entry) {
--- a/Source/Core/cell/work_meter.h
+++ b/Source/Core/cell/work_meter.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include "common/scoped_timer.h"
+
 namespace mustardslip {
 
 enum class WorkKind : std::uint8_t {
@@ -21,25 +23,10 @@
 
 class WorkMeter {
  public:
-  // Counts the time until it is destroyed as `kind`.
-  class Span {
-   public:
-    Span(WorkMeter& meter, WorkKind kind)
-        : m_meter(meter), m_kind(kind), m_start(Clock::now()) {}
-    ~Span() {
-      m_meter.m_spent.at(static_cast<std::size_t>(m_kind)) +=
-          Clock::now() - m_start;
-    }
-
-    Span(const Span&) = delete;
-    Span& operator=(const Span&) = delete;
-
-   private:
-    WorkMeter& m_meter;
-    const WorkKind m_kind;
-    const std::chrono::steady_clock::time_point m_start;
-  };
-
+  // The total of the time spent on `kind`, for a ScopedTimer.
+  ScopedTimer::Duration& Spent(WorkKind kind) {
+    return m_spent.at(static_cast<std::size_t>(kind));
+  }
   std::int64_t SpentMs(WorkKind kind) const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                m_spent.at(static_cast<std::size_t>(kind)))
@@ -54,9 +41,7 @@
   }
 
  private:
-  using Clock = std::chrono::steady_clock;
-
-  std::array<Clock::duration, kWorkKinds> m_spent = {};
+  std::array<ScopedTimer::Duration, kWorkKinds> m_spent = {};
 };
 
 // The work since `earlier`, as "kind=milliseconds".
--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -279,8 +279,8 @@
         Forget(exchange->m_peer);
       }
       SendWaiting();
-      const TrafficMeter::Handling handling(m_reactor.Traffic(),
-                                            exchange->m_purpose);
+      const ScopedTimer timer(
+          m_reactor.Traffic().Handling(exchange->m_purpose));
       exchange->m_done(std::move(result));
     }));
   }
@@ -401,8 +401,8 @@
         TrafficPurpose::kCaller,
         request.m_path.size() + request.m_body.size() + HeaderBytes(*headers));
     ++m_in_flight;
-    const TrafficMeter::Handling handling(m_reactor.Traffic(),
-                                          TrafficPurpose::kCaller);
+    const ScopedTimer timer(
+        m_reactor.Traffic().Handling(TrafficPurpose::kCaller));
     m_handler(std::move(request),
               m_guard.Wrap([this, raw](const HttpResponse& reply) {
                 --m_in_flight;
--- a/Source/Core/transport/message_link.cc
+++ b/Source/Core/transport/message_link.cc
@@ -107,7 +107,7 @@
     }
     const TrafficPurpose purpose = PurposeOf(*message);
     m_reactor.Traffic().OnReceived(purpose, kLengthBytes + length);
-    const TrafficMeter::Handling handling(m_reactor.Traffic(), purpose);
+    const ScopedTimer timer(m_reactor.Traffic().Handling(purpose));
     m_handlers.m_on_message(std::move(*message));
   }
 }
--- a/Source/Core/transport/traffic_meter.cc
+++ b/Source/Core/transport/traffic_meter.cc
@@ -10,7 +10,7 @@
   return static_cast<std::size_t>(purpose);
 }
 
-std::int64_t Milliseconds(std::chrono::steady_clock::duration duration) {
+std::int64_t Milliseconds(ScopedTimer::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
 }
@@ -29,16 +29,6 @@
   return kNames.at(IndexOf(purpose));
 }
 
-TrafficMeter::Handling::Handling(TrafficMeter& meter, TrafficPurpose purpose)
-    : m_meter(meter),
-      m_purpose(purpose),
-      m_start(std::chrono::steady_clock::now()) {}
-
-TrafficMeter::Handling::~Handling() {
-  m_meter.At(m_purpose).m_handling +=
-      std::chrono::steady_clock::now() - m_start;
-}
-
 TrafficCount& TrafficMeter::At(TrafficPurpose purpose) {
   return m_counts.at(IndexOf(purpose));
 }
@@ -53,6 +43,10 @@
   At(purpose).m_received_bytes += bytes;
 }
 
+ScopedTimer::Duration& TrafficMeter::Handling(TrafficPurpose purpose) {
+  return At(purpose).m_handling;
+}
+
 const TrafficCount& TrafficMeter::Of(TrafficPurpose purpose) const {
   return m_counts.at(IndexOf(purpose));
 }
--- a/Source/Core/transport/traffic_meter.h
+++ b/Source/Core/transport/traffic_meter.h
@@ -4,12 +4,13 @@
 #pragma once
 
 #include <array>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "common/scoped_timer.h"
+
 namespace mustardslip {
 
 enum class TrafficPurpose : std::uint8_t {
@@ -38,7 +39,7 @@
   std::uint64_t m_sent_bytes = 0;
   std::uint64_t m_received_bytes = 0;
   // Time spent in the handlers of what was received.
-  std::chrono::steady_clock::duration m_handling{};
+  ScopedTimer::Duration m_handling{};
 
   bool operator==(const TrafficCount&) const = default;
 };
@@ -46,23 +47,10 @@
 // Not thread-safe.
 class TrafficMeter {
  public:
-  // Counts the time until it is destroyed as spent on a received message.
-  class Handling {
-   public:
-    Handling(TrafficMeter& meter, TrafficPurpose purpose);
-    ~Handling();
-
-    Handling(const Handling&) = delete;
-    Handling& operator=(const Handling&) = delete;
-
-   private:
-    TrafficMeter& m_meter;
-    const TrafficPurpose m_purpose;
-    const std::chrono::steady_clock::time_point m_start;
-  };
-
   void OnSent(TrafficPurpose purpose, std::size_t bytes);
   void OnReceived(TrafficPurpose purpose, std::size_t bytes);
+  // The total of the time spent on received messages, for a ScopedTimer.
+  ScopedTimer::Duration& Handling(TrafficPurpose purpose);
   const TrafficCount& Of(TrafficPurpose purpose) const;
   // Bytes sent for all purposes, with the framing of TCP and HTTP.
   std::uint64_t TotalSentBytes() const;
