A start that its VM never confirmed is no sole suspect of a crash

What callers could see: a sound job shown as failed, without two VMs having crashed under it.

Cause: a VM that has just crashed, for whatever reason, gets a further start before the owner notices. That run, which never began, was the only new one, and so the only suspect; twice, and its task was given up.

Change: only a run that its VM confirmed (an answer to the start, or its list) can be a sole suspect.

StartsThatNeverArrivedCrashNothing fails before (phase failed after two crashes).

--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -2,7 +2,8 @@
 // only shared a VM with one, and gives the jobs of the former up.
 //
 // The suspects of a crash are the runs that the VM was told to start just
-// before it fell silent. A suspect's next start is kept apart from others
+// before it fell silent; one that the VM did not confirm may not have arrived,
+// and proves less. A suspect's next start is kept apart from others
 // (Scheduler), so that a further crash has one suspect. The VM has crashed if
 // nobody listens at its address, another VM answers there, or a newer
 // incarnation of it does; one that answers again as it was, or never, was cut
@@ -55,7 +56,9 @@
     suspects.push_back(key);
   }
   for (const auto& [task, number] : suspects) {
-    Append(CrashSuspicion{task, number, units.size() == 1, false});
+    const bool began =
+        m_state.FindRun(task, number)->m_phase != RunPhase::kPlanned;
+    Append(CrashSuspicion{task, number, began && units.size() == 1, false});
   }
 }
 
--- a/Source/Core/cell/cell_core_crashes_test.cc
+++ b/Source/Core/cell/cell_core_crashes_test.cc
@@ -222,6 +222,35 @@
   EXPECT_LE(m_crashes, kMaxStarts);
 }
 
+// Fails if a job is given up for crashes before which its starts never arrived.
+TEST_F(CellCoreCrashesTest, StartsThatNeverArrivedCrashNothing) {
+  constexpr int kCrashes = 3;
+  CellHarness cell;
+  SimulatedVm& vm = cell.AddVm("vm-0", kVmCapacity);
+  vm.m_delays_starts = true;
+  cell.Look();
+  cell.Submit(cell.Job(1, {CellHarness::Step(1, 8'000)}));
+  int crashes = 0;
+  for (int ms = 0; ms < 60'000 && crashes < kCrashes; ms += 50) {
+    const std::size_t starts = cell.m_starts.size();
+    cell.Run(50);
+    if (cell.m_starts.size() > starts) {
+      vm.m_reachable = false;
+      cell.Look();
+      cell.Restart("vm-0", vm.m_description.m_incarnation.m_born + 1);
+      vm.m_delays_starts = true;
+      cell.List("vm-0");
+      ++crashes;
+    }
+  }
+  EXPECT_EQ(crashes, kCrashes);
+  vm.m_delays_starts = false;
+  cell.Run(5'000);
+  cell.End(1, RunEnd::kDone);
+  cell.Run(100);
+  EXPECT_EQ(cell.Lookup(1).m_phase, JobPhase::kComplete);
+}
+
 // Fails if a pass divides by the number of usable VMs while the only VM of a
 // pool is on probation.
 TEST_F(CellCoreCrashesTest, PoolOfOneVmMayBeOnProbation) {
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -52,8 +52,8 @@
   // Volatile.
   RunProgress m_progress;
 
-  // The VM fell silent right after the start; with other runs that were
-  // started there just before, or without.
+  // The VM fell silent right after the start: as the only run that it had just
+  // confirmed, or not.
   enum class Suspicion : std::uint8_t { kNone, kWithOthers, kAlone };
   Suspicion m_suspicion = Suspicion::kNone;
 
@@ -67,7 +67,8 @@
 // Runs under which a VM crashed right after it was told to start them.
 struct CrashedRuns {
   FailedRuns m_all;
-  // Those before which no other run was started on the VM.
+  // Those that the VM had confirmed, and just before which no other was started
+  // there.
   FailedRuns m_alone;
 
   // True if the task is more likely to be the cause than what shared its VMs:
