--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -206,7 +206,10 @@
     Log(LogLevel::kInfo, LogCategory::kLedger, "log_loaded",
         {{"segments", loaded.m_segments},
          {"records", loaded.m_records.size()},
+         {"bytes", loaded.m_bytes},
+         {"obsolete_bytes", loaded.m_obsolete_bytes},
          {"jobs", m_core.State().Jobs().size()},
+         {"active_jobs", m_core.State().ActiveJobs().size()},
          {"configuration", m_core.RulesVersion()},
          {"took_ms", m_loop.Now().m_steady_ms - m_started_ms}});
     m_vm_feed.Start();
--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -46,6 +46,9 @@
   struct Loaded {
     std::vector<LogRecord> m_records;
     std::size_t m_segments = 0;
+    // Bytes that were read, and those of them that a newer snapshot replaced.
+    std::size_t m_bytes = 0;
+    std::size_t m_obsolete_bytes = 0;
   };
 
   OwnerLog(Store& store, Loop& loop, LinkShare link = {})
@@ -165,6 +168,8 @@
     std::uint64_t m_number = 0;
     std::vector<std::string> m_parts;
     std::size_t m_next_part = 0;
+    // Those that are in the store.
+    std::vector<std::string> m_keys;
 
     const std::string& Part() const { return m_parts[m_next_part]; }
   };
@@ -208,7 +213,8 @@
     for (const StoreItem& item : m_loading_segments) {
       const std::string expected = SegmentKey(m_next_segment);
       if (item.m_key < SegmentKey(m_first_segment)) {
-        m_obsolete_keys.push_back(item.m_key);  // Covered by the snapshot.
+        // Covered by the snapshot.
+        AddObsolete(item, loaded);
         continue;
       }
       // Each segment is written only after the previous one is durable.
@@ -228,6 +234,7 @@
   // 1 if there is none.
   std::uint64_t ReadSnapshot(Loaded& loaded) {
     std::uint64_t newest = 0;
+    m_snapshot_keys.clear();
     for (const StoreItem& item : m_loading_snapshots) {
       if (item.m_key.ends_with(kCompletePart)) {
         newest = std::max(newest, SnapshotNumber(item.m_key));
@@ -235,8 +242,11 @@
     }
     for (const StoreItem& item : m_loading_snapshots) {
       if (SnapshotNumber(item.m_key) != newest) {
-        m_obsolete_keys.push_back(item.m_key);
-      } else if (!item.m_key.ends_with(kCompletePart)) {
+        AddObsolete(item, loaded);
+        continue;
+      }
+      m_snapshot_keys.push_back(item.m_key);
+      if (!item.m_key.ends_with(kCompletePart)) {
         DecodeInto(item.m_value, loaded);
         m_snapshot_bytes += item.m_value.size();
       }
@@ -244,12 +254,19 @@
     return std::max<std::uint64_t>(1, newest);
   }
 
+  void AddObsolete(const StoreItem& item, Loaded& loaded) {
+    m_obsolete_keys.push_back(item.m_key);
+    loaded.m_bytes += item.m_value.size();
+    loaded.m_obsolete_bytes += item.m_value.size();
+  }
+
   static std::uint64_t SnapshotNumber(const std::string& snapshot_key) {
     return std::strtoull(snapshot_key.c_str() + kSnapshotPrefix.size(), nullptr,
                          10);
   }
 
   static void DecodeInto(const std::string& value, Loaded& loaded) {
+    loaded.m_bytes += value.size();
     auto records = DecodeRecords(value);
     if (!records) {
       Log(LogLevel::kError, LogCategory::kLedger, "log_segment_unreadable",
@@ -363,24 +380,25 @@
     const bool last = snapshot->m_next_part == snapshot->m_parts.size();
     StoreTransaction transaction;
     transaction.m_expected = {{std::string(kOwnerKey), m_owner_revision}};
-    if (last) {
-      transaction.m_puts = {{fmt::format("{}{:012}/{}", kSnapshotPrefix,
-                                         snapshot->m_number, kCompletePart),
-                             "", 0}};
-    } else {
-      transaction.m_puts = {
-          {SnapshotKey(snapshot->m_number, snapshot->m_next_part),
-           snapshot->Part(), 0}};
-    }
+    const std::string key =
+        last ? fmt::format("{}{:012}/{}", kSnapshotPrefix, snapshot->m_number,
+                           kCompletePart)
+             : SnapshotKey(snapshot->m_number, snapshot->m_next_part);
+    transaction.m_puts = {{key, last ? "" : snapshot->Part(), 0}};
     m_store.Commit(
         transaction, kMaxTimeoutMs,
-        m_guard.Wrap([this, snapshot, last](auto answer) {
+        m_guard.Wrap([this, snapshot, key, last](auto answer) {
           if (!answer) {
             Later(kRetryMs, [this, snapshot] { WritePart(snapshot); });
-          } else if (!answer->m_committed) {
+            return;
+          }
+          if (!answer->m_committed) {
             Superseded();
-          } else if (last) {
-            OnSnapshotWritten(snapshot->m_number);
+            return;
+          }
+          snapshot->m_keys.push_back(key);
+          if (last) {
+            OnSnapshotWritten(*snapshot);
           } else {
             // Leaves the link to other work for as long.
             const std::int64_t pause_ms = m_link.WriteMs(
@@ -391,11 +409,14 @@
         }));
   }
 
-  void OnSnapshotWritten(std::uint64_t number) {
-    for (std::uint64_t i = m_first_segment; i < number; ++i) {
+  void OnSnapshotWritten(const Snapshot& snapshot) {
+    for (std::uint64_t i = m_first_segment; i < snapshot.m_number; ++i) {
       m_obsolete_keys.push_back(SegmentKey(i));
     }
-    m_first_segment = number;
+    m_obsolete_keys.insert(m_obsolete_keys.end(), m_snapshot_keys.begin(),
+                           m_snapshot_keys.end());
+    m_snapshot_keys = snapshot.m_keys;
+    m_first_segment = snapshot.m_number;
     m_writing_snapshot = false;
     RemoveObsoleteKeys();
   }
@@ -464,6 +485,8 @@
   int m_refused_attempts = 0;
   StoreTransaction m_transaction;
   std::function<void()> m_segment_done;
+  // Of the newest complete snapshot.
+  std::vector<std::string> m_snapshot_keys;
   std::vector<std::string> m_obsolete_keys;
 };
 
--- a/Source/Core/cell/owner_log_test.cc
+++ b/Source/Core/cell/owner_log_test.cc
@@ -45,6 +45,13 @@
     return jobs;
   }
 
+  std::ptrdiff_t SnapshotKeys() const {
+    return std::count_if(m_state.m_values.begin(), m_state.m_values.end(),
+                         [](const auto& item) {
+                           return item.first.starts_with(kSnapshotPrefix);
+                         });
+  }
+
   FakeStoreState m_state;
   ManualLoop m_loop;
   FakeAsyncStore m_store;
@@ -164,6 +171,24 @@
   EXPECT_EQ(m_state.m_values.count(SegmentKey(6)), 1U);
 }
 
+// Fails if the snapshots that later ones replace stay in the store for as long
+// as the owner does, and the next owner has to read them all.
+TEST_F(OwnerLogTest, SnapshotReplacesTheSnapshotBeforeIt) {
+  constexpr int kSnapshots = 4;
+  const auto log = LoadedLog();
+  for (int i = 1; i <= kSnapshots; ++i) {
+    log->Append(Segment("segment"), [] {});
+    m_loop.Run(50);
+    log->WriteSnapshot({JobCancelled{"snapshot-" + std::to_string(i), 1}});
+    m_loop.Run(500);
+    EXPECT_EQ(SnapshotKeys(), 2) << "a part and the mark of completion";
+  }
+  EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"snapshot-4"});
+  EXPECT_EQ(m_loaded.m_obsolete_bytes, 0U);
+  m_loop.Run(50);
+  EXPECT_EQ(SnapshotKeys(), 2);
+}
+
 // Fails if an incomplete snapshot replaces segments.
 TEST_F(OwnerLogTest, UnfinishedSnapshotIsIgnored) {
   const auto log = LoadedLog();
@@ -222,14 +247,12 @@
     log->WriteSnapshot(std::vector<LogRecord>(200, JobAccepted{spec, 1}));
   });
   m_loop.Run(5'000);
-  std::size_t parts = 0;
   for (const auto& [key, value] : m_state.m_values) {
     if (key.starts_with(kSnapshotPrefix)) {
-      ++parts;
       EXPECT_LE(value.m_value.size(), kBytesPerMs * kMaxPartMs);
     }
   }
-  EXPECT_GT(parts, 3U);
+  EXPECT_GT(SnapshotKeys(), 3);
   LoadedLog();
   EXPECT_EQ(m_loaded.m_records.size(), 200U);
 }
