--- a/Source/Core/cell/owner_log.h
+++ b/Source/Core/cell/owner_log.h
@@ -207,9 +207,9 @@
     Loaded loaded;
     m_bytes_since_snapshot = 0;
     m_snapshot_bytes = 0;
+    m_obsolete_keys.clear();
     m_first_segment = ReadSnapshot(loaded);
     m_next_segment = m_first_segment;
-    m_obsolete_keys.clear();
     for (const StoreItem& item : m_loading_segments) {
       const std::string expected = SegmentKey(m_next_segment);
       if (item.m_key < SegmentKey(m_first_segment)) {
--- a/Source/Core/cell/owner_log_test.cc
+++ b/Source/Core/cell/owner_log_test.cc
@@ -198,6 +198,15 @@
   EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"a"});
 }
 
+// Fails if the parts of a snapshot whose owner ended before it was complete stay
+// in the store for good.
+TEST_F(OwnerLogTest, UnfinishedSnapshotIsRemoved) {
+  m_state.Put(SnapshotKey(2, 0), EncodeRecords({JobCancelled{"half", 1}}));
+  const auto log = LoadedLog();
+  EXPECT_GT(m_loaded.m_obsolete_bytes, 0U);
+  EXPECT_EQ(SnapshotKeys(), 0);
+}
+
 // Fails if segments that a snapshot covers, or an unfinished later snapshot,
 // are read beside it: failures in them would count again.
 TEST_F(OwnerLogTest, SegmentsBeforeASnapshotAreNotReadBesideIt) {
