An owner accepts no more work than its link can start

Cause: the log and the starts of what was accepted, about 560 kB in 2 s, need a link that carries 500 kB. Submissions were bounded by what the log takes, while each job needs the link again for the starts of its tasks, 3 to 5 times as much. The more was accepted, the later was all of it, and the longer the next owner read the log.

Change: a budget of 60 % of the link for the records and starts of new jobs. What comes beyond it is refused at once (overloaded): it has not run. The last job may exceed the budget, so that size does not matter, by 2 s at most. A link without a rate has none.

AcceptsNoMoreThanTheLinkCarries states the bound; without a budget all 1,000 jobs of it are accepted, as UnlimitedLinkAcceptsAll shows.

--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -18,6 +18,7 @@
 #include "cell/cell_platform.h"
 #include "cell/cell_request.h"
 #include "cell/decision_log.h"
+#include "cell/link_budget.h"
 #include "cell/link_share.h"
 #include "cell/owner_log.h"
 #include "cell/ownership.h"
@@ -79,6 +80,7 @@
         m_owner(owner),
         m_handlers(std::move(handlers)),
         m_link(m_options.m_link_bytes_per_ms),
+        m_link_budget(m_options.m_link_bytes_per_ms),
         m_submissions(m_link.MaxBatchBytes()),
         m_core(m_options.m_bounds),
         m_log(store, loop, m_link),
@@ -266,9 +268,15 @@
   // --- Submissions ---
 
   void Submit(std::uint64_t token, WorkflowSpec spec) {
-    if (m_core.State().FindJob(spec.m_id) == nullptr && m_submissions.Full()) {
-      m_core.Refuse(token, "overloaded", kRetryWhenOverloadedMs);
-      return;
+    // Without a store the core refuses new jobs.
+    if (m_core.State().FindJob(spec.m_id) == nullptr &&
+        m_core.StoreWritable()) {
+      if (m_submissions.Full() ||
+          m_link_budget.Exhausted(m_loop.Now().m_steady_ms)) {
+        m_core.Refuse(token, "overloaded", kRetryWhenOverloadedMs);
+        return;
+      }
+      m_link_budget.Spend(spec);
     }
     m_submissions.Push(token, std::move(spec));
   }
@@ -510,6 +518,7 @@
   CallbackGuard m_guard;
   WorkMeter m_work;
   const LinkShare m_link;
+  LinkBudget m_link_budget;
   SubmissionQueue m_submissions;
   CellCore m_core;
   OwnerLog<Store, Loop> m_log;
--- a/Source/Core/cell/link_share.h
+++ b/Source/Core/cell/link_share.h
@@ -9,6 +9,11 @@
 
 namespace mustardslip {
 
+// Bytes that values of the store take on the link, where they are base64 text.
+inline constexpr std::int64_t TextBytes(std::int64_t bytes) {
+  return bytes * 4 / 3;
+}
+
 class LinkShare {
  public:
   LinkShare() = default;
@@ -32,9 +37,7 @@
   }
   // Time that a log write of that many bytes takes on the link alone.
   std::int64_t WriteMs(std::int64_t bytes) const {
-    return m_bytes_per_ms == 0
-               ? 0
-               : bytes * kTextFactor / kTextDivisor / m_bytes_per_ms;
+    return m_bytes_per_ms == 0 ? 0 : TextBytes(bytes) / m_bytes_per_ms;
   }
 
  private:
@@ -44,16 +47,12 @@
   // The store takes values of up to 1 MB, as text.
   static constexpr std::int64_t kMaxBatchBytes = 450'000;
   static constexpr std::int64_t kMinSnapshotBytes = 500'000;
-  // Values are sent as base64.
-  static constexpr std::int64_t kTextFactor = 4;
-  static constexpr std::int64_t kTextDivisor = 3;
 
   // What the link carries in `ms`, at most `most_bytes`.
   std::int64_t LogBytes(std::int64_t ms, std::int64_t most_bytes) const {
     return m_bytes_per_ms == 0
                ? most_bytes
-               : std::min(most_bytes,
-                          ms * m_bytes_per_ms * kTextDivisor / kTextFactor);
+               : std::min(most_bytes, ms * m_bytes_per_ms * 3 / 4);
   }
 
   // 0 for a link that is never full.
--- a/Source/Core/cell/link_share_test.cc
+++ b/Source/Core/cell/link_share_test.cc
@@ -1,8 +1,9 @@
-// What an owner may send over a narrow link, and what waits for it.
+// What an owner may send and accept over a narrow link, and what waits for it.
 #include "cell/link_share.h"
 
 #include <gtest/gtest.h>
 
+#include "cell/link_budget.h"
 #include "cell/submission_queue.h"
 #include "transport/link_backlog.h"
 
@@ -43,6 +44,48 @@
             std::numeric_limits<std::int64_t>::max());
 }
 
+WorkflowSpec JobOfTasks(std::uint32_t tasks) {
+  WorkflowSpec spec = Spec("job", 600);
+  spec.m_steps.resize(1);
+  spec.m_steps.front().m_count = tasks;
+  return spec;
+}
+
+// How many of the jobs that come in 10 s, one each `interval_ms`, are accepted.
+int AcceptedIn10S(std::int64_t bytes_per_ms, std::int64_t interval_ms,
+                  const WorkflowSpec& spec) {
+  LinkBudget budget(bytes_per_ms);
+  int accepted = 0;
+  for (std::int64_t ms = 0; ms < 10'000; ms += interval_ms) {
+    constexpr std::int64_t kStartMs = 1'000;
+    if (!budget.Exhausted(kStartMs + ms)) {
+      budget.Spend(spec);
+      ++accepted;
+    }
+  }
+  return accepted;
+}
+
+// Fails if an owner accepts more work than its link can start: all of it then
+// ends too late, and nothing more is served.
+TEST(LinkBudgetTest, AcceptsNoMoreThanTheLinkCarries) {
+  constexpr std::int64_t kStartBytes = 950;
+  constexpr std::uint32_t kTasks = 6;
+  const int accepted = AcceptedIn10S(kNarrowBytesPerMs, 10, JobOfTasks(kTasks));
+  EXPECT_LE(accepted * kTasks * kStartBytes, 10'000 * kNarrowBytesPerMs);
+  EXPECT_GE(accepted * kTasks * kStartBytes, 10'000 * kNarrowBytesPerMs / 4);
+}
+
+// Fails if a job larger than the budget is never accepted, or keeps all others
+// out for as long as its starts take.
+TEST(LinkBudgetTest, OneHugeJobDoesNotKeepOthersOut) {
+  EXPECT_GE(AcceptedIn10S(kNarrowBytesPerMs, 50, JobOfTasks(10'000)), 4);
+}
+
+TEST(LinkBudgetTest, UnlimitedLinkAcceptsAll) {
+  EXPECT_EQ(AcceptedIn10S(0, 10, JobOfTasks(1'000)), 1'000);
+}
+
 // Fails if submissions wait without a bound for a log that takes less than what
 // comes: all of them then end too late, instead of some being refused at once.
 TEST(SubmissionQueueTest, IsFullOnceTheWaitIsSeveralWrites) {
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -10,8 +10,6 @@
 
 constexpr std::uint64_t kFormatVersion = 1;
 constexpr double kFractionScale = 1e6;
-// Names of a job, a step and a VM, and numbers: for EstimatedSize.
-constexpr std::size_t kRecordBytes = 60;
 // Flags of JobProgress. Versions without the second one read any flag as the
 // first, which it implies.
 constexpr std::uint64_t kStartedBit = 1;
@@ -323,13 +321,14 @@
 std::size_t EstimatedSize(const WorkflowSpec& spec) {
   constexpr std::size_t kQueueBytes = 60;
   constexpr std::size_t kStepBytes = 30;
-  return kRecordBytes + kQueueBytes + spec.m_payload.size() +
+  return kEstimatedRecordBytes + kQueueBytes + spec.m_payload.size() +
          kStepBytes * spec.m_steps.size();
 }
 
 std::size_t EstimatedSize(const LogRecord& record) {
   const auto* accepted = std::get_if<JobAccepted>(&record);
-  return accepted == nullptr ? kRecordBytes : EstimatedSize(accepted->m_spec);
+  return accepted == nullptr ? kEstimatedRecordBytes
+                             : EstimatedSize(accepted->m_spec);
 }
 
 std::string EncodeRecords(const std::vector<LogRecord>& records) {
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -157,6 +157,8 @@
                                FailedRunSnapshot, CrashSuspicion>;
 
 // About the bytes that an accepted job, or a record, takes in a log write.
+// For records without a payload: names of a job, a step and a VM, and numbers.
+inline constexpr std::size_t kEstimatedRecordBytes = 60;
 std::size_t EstimatedSize(const WorkflowSpec& spec);
 std::size_t EstimatedSize(const LogRecord& record);
 // Encodes any number of records as one value of the store.
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cell/advice_plan.h"
+#include "cell/link_budget.h"
 #include "cell/pool_capacity.h"
 #include "cell/step_placement.h"
 
@@ -39,8 +40,6 @@
 constexpr std::int64_t kLargeGangDivisor = 64;
 // A job is of use to its caller until this many times its objective.
 constexpr std::int64_t kUsefulObjectives = 3;
-// Bytes of an order to start a run besides the job's payload.
-constexpr std::int64_t kStartOrderBytes = 350;
 // A gang that waits is logged at this interval, and one that starts if it has
 // waited for longer than the second time.
 constexpr std::int64_t kGangDelayIntervalMs = 4'000;
