A refused connection alone does not show that a VM crashed

What callers could see: a sound job shown as failed, because VMs that were cut off right after its starts were taken for crashed ones.

Cause: a refused connection counted as proof of a crash.

Change: a VM that seems gone has crashed only if it has also left the VM list when its lease has expired: one that is cut off from the owner keeps its entry, and one that is cut off from the list answers. Nothing waits longer for it, as its runs are closed only then. A newer incarnation that answers shows a crash at once, as before.

VmThatRefusesConnectionsBehindACutHasNotCrashed fails before. VmThatIsUnlistedAfterItsLeaseHasCrashed guards the other order of the two signs.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -220,6 +220,7 @@
   void SuspectNewRuns(const VmState& vm, const CellTime& now);
   void ConfirmCrashOf(const VmState& vm, const CellTime& now);
   void ConfirmCrashes(const VmState& newer, const CellTime& now);
+  void ConfirmLostSuspects(const VmIncarnation& life, const CellTime& now);
   void Confirm(const std::vector<CrashSuspicion>& crashes, const CellTime& now);
   void RememberLostSuspect(const VmState& vm, const RunKey& key,
                            const OpenRun& run);
@@ -252,8 +253,8 @@
   std::vector<Effect> m_effects;
   // Jobs with a first confirmed run that no log record shows yet.
   std::vector<std::string> m_newly_confirmed;
-  // Suspects of VMs whose lease expired before a newer incarnation answered, as
-  // crashes to confirm.
+  // Suspects of VMs whose lease expired before it was known whether they
+  // crashed, as crashes to confirm.
   std::map<VmIncarnation, std::vector<CrashSuspicion>> m_lost_suspects;
   bool m_dirty = true;
   bool m_store_writable = true;
--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -4,11 +4,11 @@
 // The suspects of a crash are the runs that the VM was told to start just
 // before it fell silent; one that the VM did not confirm may not have arrived,
 // and proves less. A suspect's next start is kept apart from others
-// (Scheduler), so that a further crash has one suspect. The VM has crashed if
-// nobody listens at its address, another VM answers there, or a newer
-// incarnation of it does; one that answers again as it was, or never, was cut
-// off. Suspicions and crashes are log records: a new owner knows them, and a
-// run counts once.
+// (Scheduler), so that a further crash has one suspect. The VM has crashed if a
+// newer incarnation of it answers, or if nobody listens at its address any more
+// (or another VM) and it has left the VM list when its lease has expired. One
+// that answers again as it was, or never, was cut off. Suspicions and crashes
+// are log records: a new owner knows them, and a run counts once.
 #include <set>
 #include <tuple>
 #include <utility>
@@ -62,7 +62,7 @@
   }
 }
 
-// The VM's process is gone: it crashed under its suspects.
+// The VM crashed under its suspects.
 void CellCore::ConfirmCrashOf(const VmState& vm, const CellTime& now) {
   std::vector<CrashSuspicion> crashes;
   for (const auto& [key, charge] : vm.m_open) {
@@ -82,14 +82,19 @@
       ConfirmCrashOf(*earlier, now);
     }
   }
-  const auto begin = m_lost_suspects.lower_bound({life.m_id, INT64_MIN});
-  const auto end = m_lost_suspects.lower_bound(life);
-  std::vector<CrashSuspicion> crashes;
-  for (auto lost = begin; lost != end; ++lost) {
-    crashes.insert(crashes.end(), lost->second.begin(), lost->second.end());
+  auto lost = m_lost_suspects.lower_bound({life.m_id, INT64_MIN});
+  while (lost != m_lost_suspects.end() && lost->first < life) {
+    const VmIncarnation earlier = lost->first;
+    ++lost;
+    ConfirmLostSuspects(earlier, now);
+  }
+}
+
+void CellCore::ConfirmLostSuspects(const VmIncarnation& life,
+                                   const CellTime& now) {
+  if (const auto lost = m_lost_suspects.extract(life)) {
+    Confirm(lost.mapped(), now);
   }
-  m_lost_suspects.erase(begin, end);
-  Confirm(crashes, now);
 }
 
 void CellCore::Confirm(const std::vector<CrashSuspicion>& crashes,
@@ -100,7 +105,8 @@
   }
 }
 
-// A run whose VM's lease has expired is closed before the VM is back.
+// A run is closed when its VM's lease has expired. Whether the VM crashed may
+// be known later.
 void CellCore::RememberLostSuspect(const VmState& vm, const RunKey& key,
                                    const OpenRun& run) {
   if (run.m_suspicion != OpenRun::Suspicion::kNone) {
--- a/Source/Core/cell/cell_core_crashes_test.cc
+++ b/Source/Core/cell/cell_core_crashes_test.cc
@@ -40,15 +40,44 @@
           vm.m_running.clear();
           vm.m_reachable = false;
           m_back_at_ms[i] = now_ms + m_down_ms;
+          m_unlisted_at_ms[i] = now_ms + m_listed_ms;
           ++m_crashes;
         } else if (!vm.m_reachable && m_back_at_ms[i] <= now_ms) {
           m_cell.Restart(Name(i), vm.m_description.m_incarnation.m_born + 1);
           m_cell.List(Name(i));
+        } else if (!vm.m_reachable && m_unlisted_at_ms[i] <= now_ms) {
+          m_cell.Unlist(Name(i));
         }
       }
     }
   }
 
+  // Cuts off each VM right after a start, for longer than its lease; it answers
+  // as it was after that. Returns the number of cuts.
+  int CutOffAfterEachStart(VmCallFailure failure) {
+    constexpr std::int64_t kCutMs = 8'000;
+    std::map<int, std::int64_t> reachable_at_ms;
+    int cuts = 0;
+    for (std::int64_t passed = 0; passed < 60'000; passed += 50) {
+      m_cell.Run(50);
+      const std::int64_t now_ms = m_cell.Now().m_steady_ms;
+      for (int i = 0; i < kVms; ++i) {
+        SimulatedVm& vm = m_cell.Vm(Name(i));
+        if (vm.m_reachable && !vm.m_running.empty()) {
+          vm.m_failure = failure;
+          vm.m_reachable = false;
+          reachable_at_ms[i] = now_ms + kCutMs;
+          ++cuts;
+        } else if (!vm.m_reachable && reachable_at_ms[i] <= now_ms) {
+          // The lease expired behind the cut.
+          vm.m_running.clear();
+          vm.m_reachable = true;
+        }
+      }
+    }
+    return cuts;
+  }
+
   bool RunsDeadlyJob(const SimulatedVm& vm) const {
     return std::any_of(vm.m_running.begin(), vm.m_running.end(),
                        [&](const SimulatedVm::Running& running) {
@@ -75,6 +104,9 @@
   std::set<std::string> m_deadly;
   std::map<int, std::int64_t> m_back_at_ms;
   std::int64_t m_down_ms = 3'000;
+  // How long the VM list names a VM that crashed, and when that ends.
+  std::int64_t m_listed_ms = 4'500;
+  std::map<int, std::int64_t> m_unlisted_at_ms;
   // A poll is answered between the start and the crash.
   bool m_listed_before_crash = false;
   int m_crashes = 0;
@@ -144,26 +176,14 @@
 // that crashed.
 TEST_F(CellCoreCrashesTest, VmThatIsCutOffHasNotCrashed) {
   m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 8'000)}));
-  for (int round = 0; round < 6; ++round) {
-    std::set<std::string> cut;
-    for (int ms = 0; ms < 2'000; ms += 50) {
-      m_cell.Run(50);
-      for (int i = 0; i < kVms; ++i) {
-        SimulatedVm& vm = m_cell.Vm(Name(i));
-        if (!vm.m_running.empty()) {
-          vm.m_reachable = false;
-          cut.insert(Name(i));
-        }
-      }
-    }
-    // The lease expires behind the cut.
-    m_cell.Run(8'000);
-    for (const std::string& name : cut) {
-      m_cell.Vm(name).m_running.clear();
-      m_cell.Vm(name).m_reachable = true;
-    }
-    m_cell.Run(500);
-  }
+  EXPECT_GT(CutOffAfterEachStart(VmCallFailure::kNoAnswer), kMaxStarts);
+  EXPECT_NE(m_cell.Lookup(1).m_phase, JobPhase::kFailed);
+}
+
+// Fails if a refused connection alone counts as a crash: a cut may refuse them.
+TEST_F(CellCoreCrashesTest, VmThatRefusesConnectionsBehindACutHasNotCrashed) {
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 8'000)}));
+  EXPECT_GT(CutOffAfterEachStart(VmCallFailure::kGone), kMaxStarts);
   EXPECT_NE(m_cell.Lookup(1).m_phase, JobPhase::kFailed);
 }
 
@@ -222,6 +242,20 @@
   EXPECT_LE(m_crashes, kMaxStarts);
 }
 
+// Fails if the crash of a VM is not counted that is listed for longer than its
+// lease.
+TEST_F(CellCoreCrashesTest, VmThatIsUnlistedAfterItsLeaseHasCrashed) {
+  for (int i = 0; i < kVms; ++i) {
+    m_cell.Vm(Name(i)).m_failure = VmCallFailure::kGone;
+  }
+  m_down_ms = 1'000'000;
+  m_listed_ms = 9'000;
+  SubmitDeadly(1, CellHarness::Step(1, 8'000));
+  Run(60'000);
+  EXPECT_EQ(m_cell.Lookup(1).m_phase, JobPhase::kFailed);
+  EXPECT_LE(m_crashes, kMaxStarts);
+}
+
 // Fails if a job is given up for crashes before which its starts never arrived.
 TEST_F(CellCoreCrashesTest, StartsThatNeverArrivedCrashNothing) {
   constexpr int kCrashes = 3;
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -36,9 +36,12 @@
   m_dirty = true;
 }
 
-void CellCore::OnVmUnlisted(const std::string& id, const CellTime&) {
+void CellCore::OnVmUnlisted(const std::string& id, const CellTime& now) {
   for (VmState* life : m_state.IncarnationsOf(id)) {
     life->m_listed = false;
+    if (life->HasCrashed()) {
+      ConfirmLostSuspects(life->Incarnation(), now);
+    }
   }
 }
 
@@ -123,9 +126,7 @@
     vm->m_first_failed_call_ms = std::max<std::int64_t>(1, now.m_steady_ms);
     SuspectNewRuns(*vm, now);
   }
-  if (failure == VmCallFailure::kGone) {
-    ConfirmCrashOf(*vm, now);
-  }
+  vm->m_seems_gone = vm->m_seems_gone || failure == VmCallFailure::kGone;
 }
 
 // True if nothing has to be known of the VM any more. Ends that it has not
@@ -192,6 +193,9 @@
 }
 
 void CellCore::MarkRunsLost(VmState& vm, const CellTime& now) {
+  if (vm.HasCrashed()) {
+    ConfirmCrashOf(vm, now);
+  }
   for (const RunKey& key : vm.OpenRuns()) {
     const OpenRun* run = m_state.FindRun(key.first, key.second);
     if (run != nullptr && MayRunOnNewerIncarnation(vm, *run, now)) {
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -62,6 +62,7 @@
   vm->m_fenced = true;
   vm->m_poll_due_ms = 0;
   vm->m_first_failed_call_ms = 0;
+  vm->m_seems_gone = false;
   vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
   ProcessReportedEnds(*vm, report, now);
   ProcessReportedRuns(*vm, report);
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -175,7 +175,8 @@
 // What a failed call tells of a VM.
 enum class VmCallFailure : std::uint8_t {
   kNoAnswer,  // It is cut off, stopped, overloaded or gone.
-  kGone,      // Nobody listens at its address, or another VM does.
+  kGone,      // Nobody listens at its address, or another VM does; as seen from
+              // here, as a cut may refuse connections.
 };
 
 // A run that a VM reports as running.
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -88,6 +88,9 @@
   // Owner's steady clock: the first of the consecutive failed polls; 0 if the
   // last one was answered.
   std::int64_t m_first_failed_call_ms = 0;
+  // Since its last answer a call showed that nobody listens at its address, or
+  // another VM: it crashed, or is cut off in a way that refuses connections.
+  bool m_seems_gone = false;
   // Owner's steady clock: when a start was last planned or sent; 0 for never.
   std::int64_t m_last_start_ms = 0;
   // Owner's steady clock: no other starts before this, as a task under which
@@ -104,6 +107,9 @@
   const VmIncarnation& Incarnation() const {
     return m_description.m_incarnation;
   }
+  // To be asked once its lease has expired. A VM that is only cut off from the
+  // owner stays listed, and one that is cut off from the list answers.
+  bool HasCrashed() const { return m_seems_gone && !m_listed; }
   bool HasUnacknowledgedEnds() const { return m_acknowledged_end < m_last_end; }
   Resources Free() const { return m_description.m_capacity - m_used; }
   bool HasLabel(const std::string& label) const;
