A VM that answers as it was clears its suspects

What callers could see: a sound job shown as failed after two crashes that its tasks had no part in.

Cause: a run that was started just before its VM was cut off or slow for a moment stayed a suspect for as long as it ran. If the VM crashed later, for any reason, the run counted as the only suspect.

Change: the first answer of the VM as it was ends the suspicion, also one that a new owner found in the log.

VmThatAnswersAgainClearsItsSuspects fails before (given up after two crashes).

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -225,6 +225,7 @@
   void RememberLostSuspect(const VmState& vm, const RunKey& key,
                            const OpenRun& run);
   void NoteStart(const Placement& placement, const CellTime& now);
+  void ClearSuspects(const VmState& vm);
   void GiveUpIfItCrashesVms(const TaskRef& task, const CellTime& now);
   static bool IsForgettable(VmState& vm, const CellTime& now);
   void ExpireVmLeases(const CellTime& now);
--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -114,6 +114,17 @@
   }
 }
 
+// The VM answers as it was: it was cut off or slow. A suspicion that a later
+// owner finds in the log ends with the VM's first answer to it.
+void CellCore::ClearSuspects(const VmState& vm) {
+  m_lost_suspects.erase(vm.Incarnation());
+  for (const auto& [key, charge] : vm.m_open) {
+    if (OpenRun* run = m_state.FindRun(key.first, key.second)) {
+      run->m_suspicion = OpenRun::Suspicion::kNone;
+    }
+  }
+}
+
 // A start is planned on the VM or sent to it: a suspect's keeps others away
 // until a crash would have been noticed.
 void CellCore::NoteStart(const Placement& placement, const CellTime& now) {
--- a/Source/Core/cell/cell_core_crashes_test.cc
+++ b/Source/Core/cell/cell_core_crashes_test.cc
@@ -256,6 +256,32 @@
   EXPECT_LE(m_crashes, kMaxStarts);
 }
 
+// Fails if a run stays a suspect after its VM has answered again, and counts
+// when the VM crashes later for another reason.
+TEST_F(CellCoreCrashesTest, VmThatAnswersAgainClearsItsSuspects) {
+  constexpr int kCrashes = 5;
+  CellHarness cell;
+  SimulatedVm& vm = cell.AddVm("vm-0", kVmCapacity);
+  cell.Look();
+  cell.Submit(cell.Job(1, {CellHarness::Step(1, 8'000)}));
+  int crashes = 0;
+  for (int ms = 0; ms < 60'000 && crashes < kCrashes; ms += 50) {
+    cell.Run(50);
+    if (vm.m_running.empty()) {
+      continue;
+    }
+    vm.m_reachable = false;
+    cell.Look();
+    vm.m_reachable = true;
+    cell.Run(2'000);
+    cell.Restart("vm-0", vm.m_description.m_incarnation.m_born + 1);
+    cell.List("vm-0");
+    ++crashes;
+  }
+  EXPECT_EQ(crashes, kCrashes);
+  EXPECT_NE(cell.Lookup(1).m_phase, JobPhase::kFailed);
+}
+
 // Fails if a job is given up for crashes before which its starts never arrived.
 TEST_F(CellCoreCrashesTest, StartsThatNeverArrivedCrashNothing) {
   constexpr int kCrashes = 3;
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -45,6 +45,7 @@
   }
   if (!vm->m_fenced || vm->m_first_failed_call_ms != 0) {
     m_dirty = true;
+    ClearSuspects(*vm);
   }
   if (!vm->m_fenced) {
     EndEarlierIncarnations(*vm, now);
