The configuration in force is in the log

Cause: which configuration decides was in each owner's memory. A new owner took its own, also an older one; of a queue that was removed it took the limit at acceptance.

An owner whose own version is older starts nothing and decides no failure until it has read a newer one, as one without any configuration.

Earlier versions cannot read the record, as CrashSuspicion: replace all daemons together.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -35,14 +35,19 @@
   for (auto& [life, vm] : m_state.Vms()) {
     vm.m_durable_end = vm.m_last_end;
   }
-  std::vector<std::string> active;
+  m_recovered = true;
+  if (m_configured && m_rules.m_version < m_state.RulesVersion()) {
+    SetRules({});
+    m_configured = false;
+  }
+  if (m_configured) {
+    PutRulesInForce();
+  }
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    active.push_back(id);
-    ApplyRules(job->m_spec);
     ReleaseOccurrences(*job, now);
     m_ready.Refresh(*job);
   }
-  FailJobsWithoutAttempts(active, now);
+  FailJobsWithoutAttempts(ActiveJobs(), now);
 }
 
 // --- Callers ---
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -189,6 +189,9 @@
                 const CellTime& now);
   void AfterEnd(const TaskRef& task, std::uint32_t run, RunEnd end,
                 const VmIncarnation& vm, const CellTime& now);
+  void SetRules(CellRules rules);
+  std::vector<std::string> PutRulesInForce();
+  std::vector<std::string> ActiveJobs() const;
   bool ApplyRules(WorkflowSpec& spec) const;
   void FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now);
   void FailJob(const Job& job, JobFailure failure, const CellTime& now);
@@ -238,9 +241,11 @@
   CellBounds m_bounds;
   CellState m_state;
   CellRules m_rules;
-  // False until the first rules. Without them this owner starts nothing and
-  // decides no failure.
+  // False until the first rules that are no older than those in the log.
+  // Without them this owner starts nothing and decides no failure.
   bool m_configured = false;
+  // True after OnRecovered.
+  bool m_recovered = false;
   // Positions in m_rules.m_queues, by name.
   std::unordered_map<std::string, std::size_t> m_queue_index;
   Scheduler m_scheduler;
--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -414,5 +414,22 @@
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
 }
 
+// Fails if the store does not keep which rules were in force.
+TEST_F(CellCoreAttemptsTest, RulesInForceAreEncodedWhole) {
+  SubmitUnderLimit(2);
+  Configure(2, 4);
+  m_cell.Run(200);
+  const auto is_rules = [this](const LogRecord& record) {
+    const auto* rules = std::get_if<RulesInForce>(&record);
+    return rules != nullptr && rules->m_version == 2 &&
+           rules->m_changed == std::vector<QueueRules>{QueueWithAttempts(4)};
+  };
+  ASSERT_EQ(std::count_if(m_cell.m_log.begin(), m_cell.m_log.end(), is_rules),
+            1);
+  const auto decoded = DecodeRecords(EncodeRecords(m_cell.m_log));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(*decoded, m_cell.m_log);
+}
+
 }  // namespace
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -1,5 +1,7 @@
 // CellCore: applies the rules of the configuration to the jobs, and decides
 // when a job has failed by them.
+#include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,27 +11,61 @@
 namespace mustardslip {
 
 void CellCore::OnRules(CellRules rules, const CellTime& now) {
-  if (rules.m_version < m_rules.m_version) {
+  if (rules.m_version < std::max(m_rules.m_version, m_state.RulesVersion())) {
     return;
   }
+  SetRules(std::move(rules));
+  const bool first = !std::exchange(m_configured, true);
+  // OnRecovered does the rest once the log is replayed.
+  if (!m_recovered) {
+    return;
+  }
+  std::vector<std::string> affected;
+  for (const std::string& id : PutRulesInForce()) {
+    m_ready.Reorder(*m_state.FindJob(id));
+    affected.push_back(id);
+  }
+  FailJobsWithoutAttempts(first ? ActiveJobs() : affected, now);
+  m_dirty = true;
+}
+
+void CellCore::SetRules(CellRules rules) {
   m_rules = std::move(rules);
   m_queue_index.clear();
   for (std::size_t i = 0; i < m_rules.m_queues.size(); ++i) {
     m_queue_index[m_rules.m_queues[i].m_name] = i;
   }
-  const bool first = !std::exchange(m_configured, true);
+}
+
+std::vector<std::string> CellCore::ActiveJobs() const {
+  std::vector<std::string> active;
+  for (const auto& [id, job] : m_state.ActiveJobs()) {
+    active.push_back(id);
+  }
+  return active;
+}
+
+// Applies the rules to the active jobs and logs them. Returns the jobs whose
+// rules changed.
+std::vector<std::string> CellCore::PutRulesInForce() {
   std::vector<std::string> affected;
+  std::map<std::string, QueueRules> changed;
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    const bool changed = ApplyRules(job->m_spec);
-    if (changed) {
-      m_ready.Reorder(*job);
-    }
-    if (changed || first) {
+    if (ApplyRules(job->m_spec)) {
       affected.push_back(id);
+      changed.emplace(job->m_spec.m_queue.m_name, job->m_spec.m_queue);
     }
   }
-  FailJobsWithoutAttempts(affected, now);
-  m_dirty = true;
+  if (m_rules.m_version == m_state.RulesVersion() && changed.empty()) {
+    return affected;
+  }
+  RulesInForce record;
+  record.m_version = m_rules.m_version;
+  for (auto& [name, rules] : changed) {
+    record.m_changed.push_back(std::move(rules));
+  }
+  Append(std::move(record));
+  return affected;
 }
 
 // Returns true if the rules of the job's queue have changed. Jobs of a removed
@@ -44,13 +80,9 @@
   if (newest == spec.m_queue) {
     return false;
   }
-  QueueRules rules = newest;
-  rules.m_service = spec.m_queue.m_service;
-  if (rules == spec.m_queue) {
-    return false;
-  }
-  spec.m_queue = std::move(rules);
-  return true;
+  const QueueRules before = spec.m_queue;
+  spec.SetRules(newest);
+  return spec.m_queue != before;
 }
 
 // Logged as a decision of its own: a later owner, whose rules may differ, must
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -341,6 +341,17 @@
   }
 }
 
+void CellState::ApplyOne(const RulesInForce& record) {
+  m_rules_version = std::max(m_rules_version, record.m_version);
+  for (const QueueRules& rules : record.m_changed) {
+    for (const auto& [id, job] : m_active) {
+      if (job->m_spec.m_queue.m_name == rules.m_name) {
+        job->m_spec.SetRules(rules);
+      }
+    }
+  }
+}
+
 void CellState::ApplyOne(const JobEnded& record) {
   const auto [found, created] = m_jobs.try_emplace(record.m_job);
   if (!created) {
@@ -408,6 +419,9 @@
 std::vector<LogRecord> CellState::Snapshot() const {
   std::vector<LogRecord> records;
   std::vector<LogRecord> open;
+  if (m_rules_version != 0) {
+    records.push_back(RulesInForce{m_rules_version, {}});
+  }
   for (const auto& [id, job] : m_jobs) {
     if (job->Ended() && job->m_open_runs == 0) {
       records.push_back(JobEnded{id, job->m_spec.m_queue.m_name, ResultOf(*job),
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -67,6 +67,9 @@
   // Jobs that have not ended, and ended jobs that still have open runs.
   const std::map<std::string, Job*>& ActiveJobs() const { return m_active; }
 
+  // Version of the newest configuration that an owner put in force; 0 for none.
+  std::int64_t RulesVersion() const { return m_rules_version; }
+
  private:
   // A task with the objects that contain it.
   struct TaskContext {
@@ -91,6 +94,7 @@
   void ApplyOne(const JobEnded& record);
   void ApplyOne(const FailedRunSnapshot& record);
   void ApplyOne(const CrashSuspicion& record);
+  void ApplyOne(const RulesInForce& record);
   static void AppendStepSnapshot(const Job& job, TaskRef ref,
                                  const StepState& step,
                                  std::vector<LogRecord>& records,
@@ -107,6 +111,7 @@
   std::map<VmIncarnation, VmState> m_vms;
   std::unordered_map<std::string, Resources> m_team_usage;
   std::vector<std::string> m_changed;
+  std::int64_t m_rules_version = 0;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -199,6 +199,13 @@
     m_out.Bool(record.m_alone);
     m_out.Bool(record.m_confirmed);
   }
+  void operator()(const RulesInForce& record) const {
+    m_out.Signed(record.m_version);
+    m_out.Unsigned(record.m_changed.size());
+    for (const QueueRules& queue : record.m_changed) {
+      Write(m_out, queue);
+    }
+  }
 };
 
 JobAccepted ReadJobAccepted(ByteReader& in) {
@@ -249,6 +256,16 @@
   return record;
 }
 
+RulesInForce ReadRulesInForce(ByteReader& in) {
+  RulesInForce record;
+  record.m_version = in.Signed();
+  const std::uint64_t changed = in.Unsigned();
+  for (std::uint64_t i = 0; i < changed && in.Ok(); ++i) {
+    record.m_changed.push_back(ReadQueue(in));
+  }
+  return record;
+}
+
 Result<LogRecord> ReadRecord(ByteReader& in) {
   switch (in.Unsigned()) {
     case 0:
@@ -304,6 +321,8 @@
       record.m_confirmed = in.Bool();
       return record;
     }
+    case 10:
+      return ReadRulesInForce(in);
     default:
       return Fail(ErrorCode::kInvalidArgument, "unknown_log_record");
   }
@@ -326,9 +345,12 @@
 }
 
 std::size_t EstimatedSize(const LogRecord& record) {
-  const auto* accepted = std::get_if<JobAccepted>(&record);
-  return accepted == nullptr ? kEstimatedRecordBytes
-                             : EstimatedSize(accepted->m_spec);
+  if (const auto* accepted = std::get_if<JobAccepted>(&record)) {
+    return EstimatedSize(accepted->m_spec);
+  }
+  const auto* rules = std::get_if<RulesInForce>(&record);
+  return kEstimatedRecordBytes *
+         (rules == nullptr ? 1 : 1 + rules->m_changed.size());
 }
 
 std::string EncodeRecords(const std::vector<LogRecord>& records) {
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -152,9 +152,21 @@
   bool operator==(const JobEnded&) const = default;
 };
 
+// The owner put a configuration in force. Rules decide what becomes of a job,
+// so a later owner must not fall back to older ones. Also in snapshots, where
+// the jobs carry their rules.
+struct RulesInForce {
+  std::int64_t m_version = 0;
+  // The queues of active jobs whose rules changed; their jobs stay in the pool
+  // (service) that they were accepted for.
+  std::vector<QueueRules> m_changed;
+
+  bool operator==(const RulesInForce&) const = default;
+};
+
 using LogRecord = std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded,
                                TaskSnapshot, VmSnapshot, JobProgress, JobEnded,
-                               FailedRunSnapshot, CrashSuspicion>;
+                               FailedRunSnapshot, CrashSuspicion, RulesInForce>;
 
 // About the bytes that an accepted job, or a record, takes in a log write.
 // For records without a payload: names of a job, a step and a VM, and numbers.
--- a/Source/Core/cell/workflow.h
+++ b/Source/Core/cell/workflow.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/resources.h"
@@ -103,6 +104,13 @@
   std::vector<StepSpec> m_steps;
   Schedule m_schedule;
 
+  // The queue has new rules. The job stays in the pool (service) that it was
+  // accepted for.
+  void SetRules(QueueRules rules) {
+    rules.m_service = std::move(m_queue.m_service);
+    m_queue = std::move(rules);
+  }
+
   bool operator==(const WorkflowSpec&) const = default;
 };
 
