Split the scheduling pass by duty

Functions were moved as they were. The times that tell the suspects of a crash stand together in crash_timing.h, where the quiet times follow from the window.

--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -14,16 +14,11 @@
 #include <utility>
 
 #include "cell/cell_core.h"
+#include "cell/crash_timing.h"
 
 namespace mustardslip {
 namespace {
 
-// How long before a VM fell silent a suspect was started: the way there, a
-// crash at once, and the poll that notices it.
-constexpr std::int64_t kCrashWindowMs = 250;
-// How long a VM gets no other start after that of a suspect.
-constexpr std::int64_t kProbationMs = 300;
-
 // The crash that the suspicion of the run becomes.
 CrashSuspicion CrashOf(const RunKey& key, const OpenRun& run) {
   return {key.first, key.second, run.m_suspicion == OpenRun::Suspicion::kAlone,
@@ -134,7 +129,7 @@
                              ->m_spec.m_steps[placement.m_task.m_step];
   if (m_state.FindStep(placement.m_task)
           ->IsSuspect(spec, placement.m_task.m_index)) {
-    vm.m_probation_until_ms = now.m_steady_ms + kProbationMs;
+    vm.m_probation_until_ms = now.m_steady_ms + kQuietAfterSuspectMs;
   }
 }
 
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -55,12 +55,10 @@
 
   // Updates the moving average of the share of VMs recommended for the queue.
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
-
- private:
-  class Pass;
-
+  // That share: more than 0, at most 1.
   double GoodShare(const std::string& queue) const;
 
+ private:
   std::map<std::string, double> m_good_share;
 };
 
--- /dev/null
+++ b/Source/Core/cell/scheduling_pass.h
@@ -0,0 +1,129 @@
+// One scheduling pass over the ready steps: the choices of Scheduler::Decide.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "cell/pool_capacity.h"
+#include "cell/scheduler.h"
+#include "cell/step_placement.h"
+
+namespace mustardslip {
+
+// Used once. The order of the steps is that of ReadySteps, but for large gangs
+// that are overdue, which go first (PlaceOverdueGangs).
+class SchedulingPass {
+ public:
+  SchedulingPass(const Scheduler& scheduler, CellState& state,
+                 const CellRules& rules, const CellTime& now,
+                 std::size_t free_advice_calls, std::int64_t max_start_bytes);
+  ScheduleResult Run(const ReadySteps& ready);
+
+ private:
+  struct Pool {
+    PoolCapacity m_capacity;
+    // VMs that are left out as a suspect was just started there.
+    std::size_t m_on_probation = 0;
+    int m_max_reserving_gangs = 0;
+    int m_reserving_gangs = 0;
+    std::int64_t m_total_cpu_millis = 0;
+    // Need of the overdue gangs that this pass served, and whether it reached
+    // their share of the pool.
+    std::int64_t m_overdue_cpu_millis = 0;
+    bool m_overdue_share_used = false;
+  };
+
+  static Resources Unlimited(const Resources& cap);
+  std::int64_t TeamHeadroom(const ReadyStep& step);
+  void Plan(StepPlacement& step, PoolCapacity& pool, Slot& slot,
+            std::uint32_t index, std::uint32_t run);
+
+  // --- Independent tasks ---
+  void PlaceTasks(const ReadyStep& ready, Pool& pool);
+  std::int64_t StartTasks(StepPlacement& step, Pool& pool,
+                          std::int64_t waiting);
+  static std::vector<Slot*> StartableSlots(const StepPlacement& step,
+                                           PoolCapacity& pool);
+  static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
+                        const std::vector<Slot*>& slots);
+  static std::tuple<bool, bool, std::int64_t> Rank(const StepPlacement& step,
+                                                   const TaskState& task,
+                                                   const Slot& slot);
+
+  // --- Suspects of crashes ---
+  bool IsQuiet(const Pool& pool, const Slot& slot) const;
+  Slot* QuietSlot(const StepPlacement& step, const Pool& pool,
+                  const std::vector<Slot*>& slots) const;
+  static void KeepApart(Pool& pool, Slot& slot);
+
+  // --- Advice ---
+  bool MayRequestAdvice(const StepState& step) const;
+  double GoodShare(const StepPlacement& step) const;
+  void RequestAdvice(const StepPlacement& step, std::vector<std::string> vms);
+  static void ReserveForPendingAdvice(const StepPlacement& step,
+                                      PoolCapacity& pool, std::int64_t tasks);
+
+  // --- Gangs ---
+  void PlaceOverdueGangs(const ReadySteps& ready);
+  bool IsLarge(const ReadyStep& step) const;
+  static std::int64_t LatestStart(const ReadyStep& step);
+  bool IsOfUse(const ReadyStep& step) const;
+  static std::int64_t NeededCpuMillis(const ReadyStep& step);
+  static void CountOverdue(const ReadyStep& step, Pool& pool);
+  void PlaceGang(const ReadyStep& ready, Pool& pool, bool overdue);
+  void ReserveOfTeam(const ReadyStep& ready, std::int64_t tasks);
+  // How many members the VMs that may run a gang hold.
+  struct GangRoom {
+    std::int64_t m_when_empty = 0;
+    std::int64_t m_now = 0;
+  };
+
+  static GangRoom RoomForGang(const StepPlacement& step, PoolCapacity& pool);
+  // Calls `visit(slot)` for each VM that may run the step, with a valid ticket
+  // or without.
+  template <typename Visitor>
+  static void VisitAllowed(const StepPlacement& step, PoolCapacity& pool,
+                           Visitor visit) {
+    const auto check = [&](Slot& slot) {
+      if (step.HasRequiredLabel(slot)) {
+        visit(slot);
+      }
+    };
+    if (step.NeedsAdvice()) {
+      step.VisitRecommended(pool, check);
+    } else {
+      std::for_each(pool.Slots().begin(), pool.Slots().end(), check);
+    }
+  }
+  GangWaitCause WaitCauseOf(const StepPlacement& step, const GangRoom& room,
+                            std::int64_t tasks) const;
+  void NoteWait(const StepPlacement& step, GangWaitCause cause,
+                const GangRoom& room);
+  void NoteStart(const StepPlacement& step, const GangRoom& room);
+  void AddDelay(const StepPlacement& step, const GangRoom& room, bool starts);
+  bool StartGang(StepPlacement& step, Pool& pool, std::int64_t tasks);
+  static void ReserveForGang(const StepPlacement& step, Pool& pool,
+                             std::int64_t tasks);
+
+  const Scheduler& m_scheduler;
+  CellState& m_state;
+  const CellRules& m_rules;
+  const CellTime m_now;
+  const std::size_t m_free_advice_calls;
+  std::int64_t m_start_bytes_left;
+  // By service.
+  std::map<std::string, Pool> m_pools;
+  std::map<std::string, Resources> m_team_planned;
+  // VMs on which this pass plans a start.
+  std::set<const VmState*> m_planned_vms;
+  // The steps that PlaceOverdueGangs served.
+  std::set<const StepState*> m_overdue_gangs;
+  ScheduleResult m_result;
+};
+
+}  // namespace mustardslip
--- /dev/null
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -0,0 +1,295 @@
+// SchedulingPass: gangs, whose members start together or not at all.
+#include <algorithm>
+#include <utility>
+
+#include "cell/advice_plan.h"
+#include "cell/scheduling_pass.h"
+
+namespace mustardslip {
+namespace {
+
+// Large gangs that miss their objective have the first choice of the capacity
+// of one in kOverdueGangsDivisor VMs: behind all steps that can be on time,
+// they would not start before the load falls. A gang is large if it needs more
+// than one in kLargeGangDivisor of the pool's capacity; a smaller one finds
+// room.
+constexpr std::int64_t kOverdueGangsDivisor = 40;
+constexpr std::int64_t kLargeGangDivisor = 64;
+// A job is of use to its caller until this many times its objective.
+constexpr std::int64_t kUsefulObjectives = 3;
+// A gang that waits is logged at this interval, and one that starts if it has
+// waited for longer than the second time.
+constexpr std::int64_t kGangDelayIntervalMs = 4'000;
+constexpr std::int64_t kLoggedGangDelayMs = 1'000;
+
+std::string RackOf(const Slot& slot) {
+  const std::vector<std::string>& labels = slot.m_vm->m_description.m_labels;
+  return labels.empty() ? "" : labels.back();
+}
+
+// Keeps only the VMs of one rack if that rack fits the whole gang.
+void PreferOneRack(const std::string& preferred, std::int64_t tasks,
+                   std::vector<SlotFit>& fits) {
+  std::map<std::string, std::int64_t> by_rack;
+  for (const auto& [slot, fit] : fits) {
+    by_rack[RackOf(*slot)] += fit;
+  }
+  std::string chosen;
+  for (const auto& [rack, total] : by_rack) {
+    if (total >= tasks && (chosen.empty() || rack == preferred)) {
+      chosen = rack;
+    }
+  }
+  if (!chosen.empty()) {
+    std::erase_if(fits, [&](const SlotFit& one) {
+      return RackOf(*one.m_slot) != chosen;
+    });
+  }
+}
+
+}  // namespace
+
+// Serves the large gangs that miss their objective and are still of use, the
+// longest overdue first, up to their share of the pool.
+void SchedulingPass::PlaceOverdueGangs(const ReadySteps& ready) {
+  std::vector<ReadyStep> overdue;
+  ready.VisitLate(m_now.m_unix_ms, [&](const ReadyStep& step) {
+    // The objective is worth its computation only for a large gang.
+    if (step.Spec().m_gang && IsLarge(step) && IsOfUse(step)) {
+      overdue.push_back(step);
+    }
+    return true;
+  });
+  std::stable_sort(overdue.begin(), overdue.end(),
+                   [](const ReadyStep& a, const ReadyStep& b) {
+                     return LatestStart(a) < LatestStart(b);
+                   });
+  for (const ReadyStep& step : overdue) {
+    Pool& pool = m_pools.at(step.m_job->m_spec.m_queue.m_service);
+    if (pool.m_overdue_share_used) {
+      continue;
+    }
+    m_overdue_gangs.insert(step.m_state);
+    PlaceGang(step, pool, true);
+    CountOverdue(step, pool);
+  }
+}
+
+// Compared with its pool; false without a usable VM.
+bool SchedulingPass::IsLarge(const ReadyStep& step) const {
+  const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
+  return pool != m_pools.end() && NeededCpuMillis(step) * kLargeGangDivisor >=
+                                      pool->second.m_total_cpu_millis;
+}
+
+std::int64_t SchedulingPass::LatestStart(const ReadyStep& step) {
+  return step.m_state->m_ready_order->m_latest_start_unix_ms;
+}
+
+bool SchedulingPass::IsOfUse(const ReadyStep& step) const {
+  const std::int64_t due = step.m_job->DueUnixMs(step.m_occurrence);
+  const std::int64_t objective =
+      step.m_job->ObjectiveUnixMs(step.m_occurrence) - due;
+  return m_now.m_unix_ms + step.Spec().m_estimate_ms <
+         due + kUsefulObjectives * objective;
+}
+
+// Of all members of a gang.
+std::int64_t SchedulingPass::NeededCpuMillis(const ReadyStep& step) {
+  return step.Spec().Charge().m_cpu_millis *
+         static_cast<std::int64_t>(step.m_state->m_tasks.size());
+}
+
+// Counts the gang's need against the share of the pool for overdue gangs. The
+// gang that reaches it is the last one, however large.
+void SchedulingPass::CountOverdue(const ReadyStep& step, Pool& pool) {
+  pool.m_overdue_cpu_millis += NeededCpuMillis(step);
+  pool.m_overdue_share_used =
+      pool.m_overdue_cpu_millis * kOverdueGangsDivisor >=
+      pool.m_total_cpu_millis;
+}
+
+// `overdue`: the gang may reserve, whatever others have reserved, and also of
+// its team's cap.
+void SchedulingPass::PlaceGang(const ReadyStep& ready, Pool& pool,
+                               bool overdue) {
+  const StepState& state = *ready.m_state;
+  if (state.m_open > 0 || state.Done()) {
+    return;
+  }
+  StepPlacement step(ready, m_now.m_steady_ms);
+  const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
+  const bool may_reserve =
+      overdue || pool.m_reserving_gangs < pool.m_max_reserving_gangs;
+  if (!step.MayHaveTickets() && !may_ask && !may_reserve) {
+    NoteWait(step, GangWaitCause::kOtherGangs, {});
+    return;
+  }
+  const auto tasks = static_cast<std::int64_t>(state.m_tasks.size());
+  if (TeamHeadroom(ready) < tasks) {
+    NoteWait(step, GangWaitCause::kTeamLimit, {});
+    if (overdue) {
+      ReserveOfTeam(ready, tasks);
+    }
+    return;
+  }
+  const GangRoom room = RoomForGang(step, pool.m_capacity);
+  if (step.MayHaveTickets() && StartGang(step, pool, tasks)) {
+    NoteStart(step, room);
+    return;
+  }
+  NoteWait(step, WaitCauseOf(step, room, tasks), room);
+  if (may_ask) {
+    RequestAdvice(
+        step, ChooseVmsForGang(step, pool.m_capacity, tasks, GoodShare(step)));
+  }
+  if (may_reserve) {
+    ReserveForGang(step, pool, tasks);
+  }
+}
+
+// Keeps other steps of the team from taking what becomes free of its cap. Not
+// for a gang that the cap never has room for.
+void SchedulingPass::ReserveOfTeam(const ReadyStep& ready, std::int64_t tasks) {
+  const std::string& team = ready.m_job->m_spec.m_team;
+  const Resources& need = ready.Spec().m_resources;
+  const Resources cap = Unlimited(m_rules.m_teams.at(team).m_cap);
+  if (FitCount(need, cap) >= tasks) {
+    m_team_planned[team] = m_team_planned[team] + need * tasks;
+  }
+}
+
+SchedulingPass::GangRoom SchedulingPass::RoomForGang(const StepPlacement& step,
+                                                     PoolCapacity& pool) {
+  GangRoom room;
+  const Resources charge = step.Spec().Charge();
+  VisitAllowed(step, pool, [&](const Slot& slot) {
+    room.m_when_empty += FitCount(charge, slot.m_vm->m_description.m_capacity);
+    room.m_now += step.Fit(slot);
+  });
+  return room;
+}
+
+GangWaitCause SchedulingPass::WaitCauseOf(const StepPlacement& step,
+                                          const GangRoom& room,
+                                          std::int64_t tasks) const {
+  if (room.m_when_empty < tasks) {
+    const StepState& state = step.State();
+    return state.m_pending_advice_vms.empty() &&
+                   state.m_next_advice_call_ms <= m_now.m_steady_ms
+               ? GangWaitCause::kRecommendation
+               : GangWaitCause::kAdviceCall;
+  }
+  return room.m_now < tasks ? GangWaitCause::kRoom : GangWaitCause::kTicket;
+}
+
+void SchedulingPass::NoteWait(const StepPlacement& step, GangWaitCause cause,
+                              const GangRoom& room) {
+  StepState& state = step.State();
+  state.m_wait.OnWaiting(cause, m_now.m_steady_ms);
+  if (state.m_wait_logged_ms == 0) {
+    state.m_wait_logged_ms = m_now.m_steady_ms;
+  }
+  if (m_now.m_steady_ms - state.m_wait_logged_ms >= kGangDelayIntervalMs) {
+    state.m_wait_logged_ms = m_now.m_steady_ms;
+    AddDelay(step, room, false);
+  }
+}
+
+void SchedulingPass::NoteStart(const StepPlacement& step,
+                               const GangRoom& room) {
+  StepState& state = step.State();
+  if (state.m_wait.Waiting()) {
+    state.m_wait.OnWaiting(state.m_wait.Cause(), m_now.m_steady_ms);
+    if (state.m_wait.TotalMs(m_now.m_steady_ms) >= kLoggedGangDelayMs) {
+      AddDelay(step, room, true);
+    }
+  }
+  state.m_wait = {};
+  state.m_wait_logged_ms = 0;
+}
+
+void SchedulingPass::AddDelay(const StepPlacement& step, const GangRoom& room,
+                              bool starts) {
+  const StepState& state = step.State();
+  m_result.m_gang_delays.push_back(
+      {step.OwningJob().m_spec.m_id, ToString(step.Step().Ref()),
+       state.m_tasks.size(), starts, state.m_wait.TotalMs(m_now.m_steady_ms),
+       state.m_wait, room.m_when_empty, room.m_now});
+}
+
+// Starts all members, or none if they do not fit.
+bool SchedulingPass::StartGang(StepPlacement& step, Pool& pool,
+                               std::int64_t tasks) {
+  const bool suspect = step.State().IsSuspect(step.Spec(), 0);
+  std::vector<SlotFit> fits;
+  for (Slot* slot : StartableSlots(step, pool.m_capacity)) {
+    if (!suspect || IsQuiet(pool, *slot)) {
+      fits.push_back({slot, step.Fit(*slot)});
+    }
+  }
+  if (TotalFit(fits) < tasks) {
+    return false;
+  }
+  SortLargestFirst(fits);
+  if (step.Spec().m_same_rack || !step.Spec().m_rack_affinity.empty()) {
+    PreferOneRack(step.Spec().m_rack_affinity, tasks, fits);
+  }
+  const std::uint32_t run = step.State().m_last_run + 1;
+  std::uint32_t index = 0;
+  for (const auto& [slot, fit] : fits) {
+    if (index == tasks) {
+      break;
+    }
+    for (std::int64_t i = 0; i < fit && index < tasks; ++i) {
+      Plan(step, pool.m_capacity, *slot, index, run);
+      ++index;
+    }
+    if (suspect) {
+      KeepApart(pool, *slot);
+    }
+  }
+  return true;
+}
+
+// Reserves capacity against later steps, which would otherwise take freed
+// capacity first, so that the gang would starve: the room that it can use
+// now, and for the members that do not fit yet the VMs with the most free
+// capacity, as many as hold these members when empty.
+void SchedulingPass::ReserveForGang(const StepPlacement& step, Pool& pool,
+                                    std::int64_t tasks) {
+  std::vector<Slot*> usable;
+  VisitAllowed(step, pool.m_capacity, [&](Slot& slot) {
+    if (slot.m_free.m_cpu_millis > 0) {
+      usable.push_back(&slot);
+    }
+  });
+  if (usable.empty()) {
+    return;
+  }
+  ++pool.m_reserving_gangs;
+  std::stable_sort(usable.begin(), usable.end(),
+                   [](const Slot* a, const Slot* b) {
+                     return a->m_free.m_cpu_millis > b->m_free.m_cpu_millis;
+                   });
+  const Resources charge = step.Spec().Charge();
+  std::vector<Slot*> too_full;
+  for (Slot* slot : usable) {
+    const std::int64_t fit = std::min(step.Fit(*slot), tasks);
+    if (fit > 0) {
+      pool.m_capacity.Reserve(*slot, charge * fit);
+      tasks -= fit;
+    } else {
+      too_full.push_back(slot);
+    }
+  }
+  for (Slot* slot : too_full) {
+    if (tasks <= 0) {
+      return;
+    }
+    tasks -= FitCount(charge, slot->m_vm->m_description.m_capacity);
+    pool.m_capacity.ReserveAll(*slot);
+  }
+}
+
+}  // namespace mustardslip
