--- a/Source/Core/cell/link_share_test.cc
+++ b/Source/Core/cell/link_share_test.cc
@@ -71,9 +71,12 @@
 TEST(LinkBudgetTest, AcceptsNoMoreThanTheLinkCarries) {
   constexpr std::int64_t kStartBytes = 950;
   constexpr std::uint32_t kTasks = 6;
-  const int accepted = AcceptedIn10S(kNarrowBytesPerMs, 10, JobOfTasks(kTasks));
-  EXPECT_LE(accepted * kTasks * kStartBytes, 10'000 * kNarrowBytesPerMs);
-  EXPECT_GE(accepted * kTasks * kStartBytes, 10'000 * kNarrowBytesPerMs / 4);
+  constexpr std::int64_t kCarriedBytes = 10'000 * kNarrowBytesPerMs;
+  const std::int64_t accepted =
+      AcceptedIn10S(kNarrowBytesPerMs, 10, JobOfTasks(kTasks));
+  const std::int64_t needed_bytes = accepted * kTasks * kStartBytes;
+  EXPECT_LE(needed_bytes, kCarriedBytes);
+  EXPECT_GE(needed_bytes, kCarriedBytes / 4);
 }
 
 // Fails if a job larger than the budget is never accepted, or keeps all others
--- a/Source/Core/cell/owner_log_test.cc
+++ b/Source/Core/cell/owner_log_test.cc
@@ -198,8 +198,8 @@
   EXPECT_EQ(LoadedJobs(), std::vector<std::string>{"a"});
 }
 
-// Fails if the parts of a snapshot whose owner ended before it was complete stay
-// in the store for good.
+// Fails if the parts of a snapshot whose owner ended before it was complete
+// stay in the store for good.
 TEST_F(OwnerLogTest, UnfinishedSnapshotIsRemoved) {
   m_state.Put(SnapshotKey(2, 0), EncodeRecords({JobCancelled{"half", 1}}));
   const auto log = LoadedLog();
