Read again: one quiet time, one inverse of the text size, one set-up

The quiet times before and after a suspect's start were two names for one figure with an unexplained margin; 3 / 4 had no name beside TextBytes; the bytes of a start order stood in the budget and are used by the scheduler; two tests of VMs that stay gone had the same lines.

--- a/Source/Core/cell/cell_core_crashes.cc
+++ b/Source/Core/cell/cell_core_crashes.cc
@@ -129,7 +129,7 @@
                              ->m_spec.m_steps[placement.m_task.m_step];
   if (m_state.FindStep(placement.m_task)
           ->IsSuspect(spec, placement.m_task.m_index)) {
-    vm.m_probation_until_ms = now.m_steady_ms + kQuietAfterSuspectMs;
+    vm.m_probation_until_ms = now.m_steady_ms + kQuietAroundSuspectMs;
   }
 }
 
--- a/Source/Core/cell/cell_core_crashes_test.cc
+++ b/Source/Core/cell/cell_core_crashes_test.cc
@@ -90,6 +90,16 @@
     m_cell.Submit(m_cell.Job(number, {std::move(step)}));
   }
 
+  // Crashed VMs refuse connections and never come back.
+  void StartDeadlyJobOnVmsThatStayGone() {
+    for (int i = 0; i < kVms; ++i) {
+      m_cell.Vm(Name(i)).m_failure = VmCallFailure::kGone;
+    }
+    m_down_ms = 1'000'000;
+    SubmitDeadly(1, CellHarness::Step(1, 8'000));
+    Run(60'000);
+  }
+
   int StartsOf(int number) const {
     std::set<std::uint32_t> runs;
     for (const StartRun& start : m_cell.m_starts) {
@@ -232,12 +242,7 @@
 // A crashed VM is back as another VM, so no newer incarnation ever answers.
 // Fails if only that counts as a crash.
 TEST_F(CellCoreCrashesTest, VmThatIsGoneHasCrashed) {
-  for (int i = 0; i < kVms; ++i) {
-    m_cell.Vm(Name(i)).m_failure = VmCallFailure::kGone;
-  }
-  m_down_ms = 1'000'000;
-  SubmitDeadly(1, CellHarness::Step(1, 8'000));
-  Run(60'000);
+  StartDeadlyJobOnVmsThatStayGone();
   EXPECT_EQ(m_cell.Lookup(1).m_phase, JobPhase::kFailed);
   EXPECT_LE(m_crashes, kMaxStarts);
 }
@@ -245,13 +250,8 @@
 // Fails if the crash of a VM is not counted that is listed for longer than its
 // lease.
 TEST_F(CellCoreCrashesTest, VmThatIsUnlistedAfterItsLeaseHasCrashed) {
-  for (int i = 0; i < kVms; ++i) {
-    m_cell.Vm(Name(i)).m_failure = VmCallFailure::kGone;
-  }
-  m_down_ms = 1'000'000;
   m_listed_ms = 9'000;
-  SubmitDeadly(1, CellHarness::Step(1, 8'000));
-  Run(60'000);
+  StartDeadlyJobOnVmsThatStayGone();
   EXPECT_EQ(m_cell.Lookup(1).m_phase, JobPhase::kFailed);
   EXPECT_LE(m_crashes, kMaxStarts);
 }
--- a/Source/Core/cell/crash_timing.h
+++ b/Source/Core/cell/crash_timing.h
@@ -8,9 +8,10 @@
 // A run is a suspect if it was started at most this long before its VM fell
 // silent: the way there, a crash at once, and the poll that notices it.
 inline constexpr std::int64_t kCrashWindowMs = 250;
-// Nothing else starts on a VM for longer than that before and after the start
-// of a task under which a VM crashed, so that a further crash has one suspect.
-inline constexpr std::int64_t kQuietBeforeSuspectMs = kCrashWindowMs + 50;
-inline constexpr std::int64_t kQuietAfterSuspectMs = kCrashWindowMs + 50;
+// Nothing else starts on a VM for this long before and after the start of a
+// task under which a VM crashed: longer than the window, so that a further
+// crash has one suspect.
+inline constexpr std::int64_t kQuietAroundSuspectMs = 300;
+static_assert(kQuietAroundSuspectMs > kCrashWindowMs);
 
 }  // namespace mustardslip
--- a/Source/Core/cell/link_budget.h
+++ b/Source/Core/cell/link_budget.h
@@ -11,9 +11,6 @@
 
 namespace mustardslip {
 
-// Bytes of an order to start a run, besides the job's payload.
-inline constexpr std::int64_t kStartOrderBytes = 350;
-
 class LinkBudget {
  public:
   // `bytes_per_ms`: rate of the link; 0 for one that is never full.
--- a/Source/Core/cell/link_share.h
+++ b/Source/Core/cell/link_share.h
@@ -9,9 +9,16 @@
 
 namespace mustardslip {
 
-// Bytes that values of the store take on the link, where they are base64 text.
-inline constexpr std::int64_t TextBytes(std::int64_t bytes) {
-  return bytes * 4 / 3;
+// Bytes of an order to start a run, besides the job's payload.
+inline constexpr std::int64_t kStartOrderBytes = 350;
+
+// Bytes that values of the store take on the link, where they are base64 text,
+// and the inverse.
+inline constexpr std::int64_t TextBytes(std::int64_t value_bytes) {
+  return value_bytes * 4 / 3;
+}
+inline constexpr std::int64_t ValueBytes(std::int64_t text_bytes) {
+  return text_bytes * 3 / 4;
 }
 
 class LinkShare {
@@ -52,7 +59,7 @@
   std::int64_t LogBytes(std::int64_t ms, std::int64_t most_bytes) const {
     return m_bytes_per_ms == 0
                ? most_bytes
-               : std::min(most_bytes, ms * m_bytes_per_ms * 3 / 4);
+               : std::min(most_bytes, ValueBytes(ms * m_bytes_per_ms));
   }
 
   // 0 for a link that is never full.
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -7,7 +7,7 @@
 
 #include "cell/advice_plan.h"
 #include "cell/crash_timing.h"
-#include "cell/link_budget.h"
+#include "cell/link_share.h"
 
 namespace mustardslip {
 namespace {
@@ -207,7 +207,7 @@
       pool.m_on_probation * kProbationDivisor >= pool.m_capacity.Slots().size();
   return !full && m_planned_vms.count(slot.m_vm) == 0 &&
          m_now.m_steady_ms - slot.m_vm->m_last_start_ms >=
-             kQuietBeforeSuspectMs;
+             kQuietAroundSuspectMs;
 }
 
 // The quiet VM on which a crash would end the fewest runs, or null.
