--- a/review/6/bed.h
+++ b/review/6/bed.h
@@ -52,9 +52,10 @@
 constexpr std::int64_t kLostMs = 200;
 constexpr std::int64_t kFinishMs = 14'000;
 
-// The host, the prefix and the key of the only queue.
+// The host, the prefixes and the key of the queues. The second is less urgent.
 constexpr const char* kHost = "jobs.example";
 constexpr const char* kPrefix = "/queue/";
+constexpr const char* kBatchPrefix = "/batch/";
 constexpr const char* kKey = "key-of-the-team";
 
 // Writes what was sent, answered and run, with the time since the start.
@@ -239,7 +240,8 @@
 };
 
 // A worker as PROTOCOL.md describes it. A task's `spec` is JSON: "work_ms" (0:
-// works until it is stopped), "crash" (the worker crashes when it starts it).
+// works until it is stopped), "crash" (the worker crashes when it starts it),
+// "fail_ms" (its first run fails after that time).
 class Worker {
  public:
   using RunId = std::pair<std::string, std::uint32_t>;  // Task and run.
@@ -326,6 +328,7 @@
     std::int64_t m_end_ms = 0;  // 0: until it is stopped.
     std::int64_t m_stop_ms = 0;
     std::int64_t m_start_ms = 0;
+    bool m_fails = false;
   };
   struct End {
     std::uint64_t m_number = 0;
@@ -442,6 +445,11 @@
       const auto work = spec.value("work_ms", std::int64_t{500});
       run.m_start_ms = Clock();
       run.m_end_ms = work == 0 ? 0 : Clock() + work;
+      const auto fail_ms = spec.value("fail_ms", std::int64_t{0});
+      if (fail_ms != 0 && name.second == 1) {
+        run.m_end_ms = Clock() + fail_ms;
+        run.m_fails = true;
+      }
       m_events.m_on_start(m_id, name);
       if (spec.value("crash", false)) {
         m_events.m_on_crash(m_id, name);
@@ -526,7 +534,7 @@
         } else if (run.m_stop_ms != 0 && Clock() >= run.m_stop_ms) {
           ended.emplace_back(name, "stopped");
         } else if (run.m_end_ms != 0 && Clock() >= run.m_end_ms) {
-          ended.emplace_back(name, "done");
+          ended.emplace_back(name, run.m_fails ? "failed" : "done");
         }
       }
       for (const auto& [name, how] : ended) {
@@ -612,6 +620,14 @@
   std::int64_t NowMs() const { return m_record.NowMs(); }
 
   void PutConfiguration(std::int64_t max_attempts) {
+    Json batch = {{"name", "batch"},
+                  {"host", kHost},
+                  {"prefix", kBatchPrefix},
+                  {"service", "svc"},
+                  {"priority", 2},
+                  {"max_attempts", max_attempts},
+                  {"stretch_factor", 2.2},
+                  {"target_latency_ms", 1'000}};
     const Json route = {{"name", "queue"},
                         {"host", kHost},
                         {"prefix", kPrefix},
@@ -626,7 +642,7 @@
                          {"cap", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}};
     m_store.Put("op/config",
                 {{"version", 5},
-                 {"routes", {route}},
+                 {"routes", {route, batch}},
                  {"services", {{{"name", "svc"}, {"enforces_capacity", false}}}},
                  {"tenants", {tenant}},
                  {"limits", {{"body_bytes", 262'144}}}});
@@ -651,10 +667,11 @@
   // A call of a client; `done` gets the status, or 0 without an answer.
   void Call(Daemon& daemon, const std::string& method, const std::string& id,
             const std::string& body,
-            std::function<void(int status, const std::string& body)> done) {
+            std::function<void(int status, const std::string& body)> done,
+            const std::string& prefix = kPrefix) {
     HttpCall call;
     call.m_method = method;
-    call.m_target = kPrefix + id;
+    call.m_target = prefix + id;
     call.m_headers["host"] = kHost;
     call.m_headers["Authorization"] = std::string("Bearer ") + kKey;
     call.m_headers["Mustardslip-Deadline-Ms"] = "3000";
@@ -671,21 +688,22 @@
   // isn't 429, 502, 503 or 504.
   void CallUntilAnswered(
       const std::string& method, const std::string& id, const std::string& body,
-      std::function<void(int status, const std::string& body)> done) {
+      std::function<void(int status, const std::string& body)> done,
+      const std::string& prefix = kPrefix) {
     Daemon& daemon = *m_daemons[m_next_daemon++ % m_daemons.size()];
     Call(daemon, method, id, body,
-         [this, method, id, body, done, name = daemon.Name()](
+         [this, method, id, body, done, prefix, name = daemon.Name()](
              int status, const std::string& text) {
            m_record.Line("client: " + method + " " + id + " at " + name +
                          " -> " + std::to_string(status) + " " + text);
            if (status == 0 || status == 429 || status >= 500) {
              m_reactor.After(300, [=, this] {
-               CallUntilAnswered(method, id, body, done);
+               CallUntilAnswered(method, id, body, done, prefix);
              });
            } else {
              done(status, text);
            }
-         });
+         }, prefix);
   }
 
   // The name of the daemon whose record in the store names it as the holder;
--- a/review/7/cancelled.cc
+++ b/review/8/cancelled.cc
@@ -1,4 +1,4 @@
-// Case 7: a service is cancelled while its worker is cut off for a few seconds,
+// Case 8: a service is cancelled while its worker is cut off for a few seconds,
 // and the leading daemon is killed before the worker is back.
 #include "bed.h"
 
