--- a/review/6/bed.h
+++ b/review/6/bed.h
@@ -1,6 +1,6 @@
 // Test bed of the cases 6 to 10: starts the daemons of the deploy file on
-// loopback addresses, with stand-ins of the platform's store (the project's
-// own), of the workers and of the clients. All stand-ins run on one reactor.
+// loopback addresses, with stand-ins of the platform's store, of the workers
+// and of the clients. All stand-ins run on one reactor.
 #pragma once
 
 #include <fcntl.h>
@@ -24,23 +24,16 @@
 #include <vector>
 
 #include "common/logger.h"
-#include "soak/emulated_store.h"
+#include "store.h"
 #include "transport/event_http.h"
 #include "transport/free_port.h"
 
 namespace bed {
 
-using Json = nlohmann::json;
-using mustardslip::Endpoint;
 using mustardslip::EventHttpClient;
-using mustardslip::EventHttpServer;
 using mustardslip::HttpCall;
-using mustardslip::HttpRequest;
-using mustardslip::HttpResponse;
 using mustardslip::Milliseconds;
-using mustardslip::Reactor;
 using mustardslip::Result;
-using mustardslip::platform::soak::EmulatedStore;
 
 // Bounds of the site tapfind-accra, in milliseconds.
 constexpr std::int64_t kContactMs = 3'000;
@@ -257,7 +250,7 @@
     std::function<void(const std::string& worker, const RunId&)> m_on_crash;
   };
 
-  Worker(Reactor& reactor, Record& record, EmulatedStore& store, Events events,
+  Worker(Reactor& reactor, Record& record, Store& store, Events events,
          std::string id, std::string rack, std::int64_t back_after_crash_ms)
       : m_reactor(reactor),
         m_record(record),
@@ -281,8 +274,9 @@
   const std::string& Id() const { return m_id; }
   bool Up() const { return !m_dark; }
   bool Has(const std::string& task) const {
-    return std::any_of(m_runs.begin(), m_runs.end(),
-                       [&](const auto& run) { return run.first.first == task; });
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& run) {
+      return run.first.first == task;
+    });
   }
   std::size_t RunCount() const { return m_runs.size(); }
 
@@ -292,7 +286,6 @@
     m_record.Line("network: " + m_id + " is cut off");
     m_cut = true;
     m_cut_from_store = !store;
-    ++m_epoch;
     m_reactor.After(ms, [this] {
       m_record.Line("network: " + m_id + " is reachable again");
       m_cut = false;
@@ -314,7 +307,6 @@
     m_ends.clear();
     m_holds.clear();
     m_dark = true;
-    ++m_epoch;
     m_reactor.After(m_back_after_crash_ms, [this] {
       m_dark = false;
       Begin();
@@ -355,18 +347,19 @@
   void CheckIn() {
     m_last_check_in_ms = m_reactor.Now().m_steady_ms;
     m_listed = true;
-    m_store.Put("servers/" + m_id,
-                {{"service", "svc"},
-                 {"address", ToString(m_address)},
-                 {"zone", "accra-a"},
-                 {"version", "1"},
-                 {"slots", 8},
-                 {"state", "ready"},
-                 {"cold_left_ms", 0},
-                 {"seq", ++m_seq},
-                 {"born", m_born},
-                 {"labels", {"a", m_rack}},
-                 {"capacity", {{"cpu", 64'000}, {"mem_mb", 131'072}, {"gpu", 0}}}});
+    m_store.Put(
+        "servers/" + m_id,
+        {{"service", "svc"},
+         {"address", ToString(m_address)},
+         {"zone", "accra-a"},
+         {"version", "1"},
+         {"slots", 8},
+         {"state", "ready"},
+         {"cold_left_ms", 0},
+         {"seq", ++m_seq},
+         {"born", m_born},
+         {"labels", {"a", m_rack}},
+         {"capacity", {{"cpu", 64'000}, {"mem_mb", 131'072}, {"gpu", 0}}}});
   }
 
   // Writes the entry every heartbeat; it lapses after three of silence.
@@ -421,8 +414,8 @@
 
   void Extend(const Json& body) {
     const auto deadline = body.value("deadline_ms", std::int64_t{0});
-    m_lease_until_ms = std::max(m_lease_until_ms,
-                                std::min(deadline, Clock() + kMaxHoldMs));
+    m_lease_until_ms =
+        std::max(m_lease_until_ms, std::min(deadline, Clock() + kMaxHoldMs));
   }
 
   void OnStart(const Json& body, const EventHttpServer::Respond& respond) {
@@ -482,8 +475,8 @@
       m_events.m_on_noted(end.m_run, end.m_how);
       return true;
     });
-    m_holds.push_back({Clock() + body.value("wait_ms", std::int64_t{0}),
-                       std::move(respond)});
+    m_holds.push_back(
+        {Clock() + body.value("wait_ms", std::int64_t{0}), std::move(respond)});
     AnswerHolds();
   }
 
@@ -546,8 +539,8 @@
       }
       AnswerHolds();
     }
-    if (m_listed && m_reactor.Now().m_steady_ms - m_last_check_in_ms >
-                        3 * kHeartbeatMs) {
+    if (m_listed &&
+        m_reactor.Now().m_steady_ms - m_last_check_in_ms > 3 * kHeartbeatMs) {
       m_listed = false;
       m_record.Line("store: the entry of " + m_id + " has lapsed");
       m_store.Remove("servers/" + m_id);
@@ -557,7 +550,7 @@
 
   Reactor& m_reactor;
   Record& m_record;
-  EmulatedStore& m_store;
+  Store& m_store;
   const Events m_events;
   const std::string m_id;
   const std::string m_rack;
@@ -566,7 +559,6 @@
   bool m_cut = false;
   bool m_cut_from_store = false;
   bool m_listed = false;
-  std::uint64_t m_epoch = 0;
   std::int64_t m_seq = 0;
   std::int64_t m_last_check_in_ms = 0;
   std::int64_t m_born = 0;
@@ -588,7 +580,7 @@
   Bed(const std::string& program, const std::string& record_path)
       : m_program(program),
         m_record(m_reactor, record_path),
-        m_store(m_reactor, m_random),
+        m_store(m_reactor),
         m_http(m_reactor) {
     char folder[] = "/tmp/review-XXXXXX";
     if (mkdtemp(folder) == nullptr) {
@@ -613,39 +605,31 @@
 
   Reactor& Loop() { return m_reactor; }
   Record& Rec() { return m_record; }
-  EmulatedStore& Store() { return m_store; }
   bool Trouble() const { return m_trouble; }
   std::vector<std::unique_ptr<Daemon>>& Daemons() { return m_daemons; }
   std::vector<std::unique_ptr<Worker>>& Workers() { return m_workers; }
   std::int64_t NowMs() const { return m_record.NowMs(); }
 
   void PutConfiguration(std::int64_t max_attempts) {
-    Json batch = {{"name", "batch"},
-                  {"host", kHost},
-                  {"prefix", kBatchPrefix},
-                  {"service", "svc"},
-                  {"priority", 2},
-                  {"max_attempts", max_attempts},
-                  {"stretch_factor", 2.2},
-                  {"target_latency_ms", 1'000}};
-    const Json route = {{"name", "queue"},
-                        {"host", kHost},
-                        {"prefix", kPrefix},
-                        {"service", "svc"},
-                        {"priority", 0},
-                        {"max_attempts", max_attempts},
-                        {"stretch_factor", 2.0},
-                        {"target_latency_ms", 1'000}};
+    Json batch = {{"name", "batch"},        {"host", kHost},
+                  {"prefix", kBatchPrefix}, {"service", "svc"},
+                  {"priority", 2},          {"max_attempts", max_attempts},
+                  {"stretch_factor", 2.2},  {"target_latency_ms", 1'000}};
+    const Json route = {{"name", "queue"},       {"host", kHost},
+                        {"prefix", kPrefix},     {"service", "svc"},
+                        {"priority", 0},         {"max_attempts", max_attempts},
+                        {"stretch_factor", 2.0}, {"target_latency_ms", 1'000}};
     const Json tenant = {{"name", "team"},
                          {"api_keys", {kKey}},
                          {"weight", 100},
                          {"cap", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}};
-    m_store.Put("op/config",
-                {{"version", 5},
-                 {"routes", {route, batch}},
-                 {"services", {{{"name", "svc"}, {"enforces_capacity", false}}}},
-                 {"tenants", {tenant}},
-                 {"limits", {{"body_bytes", 262'144}}}});
+    m_store.Put(
+        "op/config",
+        {{"version", 5},
+         {"routes", {route, batch}},
+         {"services", {{{"name", "svc"}, {"enforces_capacity", false}}}},
+         {"tenants", {tenant}},
+         {"limits", {{"body_bytes", 262'144}}}});
   }
 
   void AddWorker(Worker::Events events, std::int64_t back_after_crash_ms) {
@@ -691,77 +675,40 @@
       std::function<void(int status, const std::string& body)> done,
       const std::string& prefix = kPrefix) {
     Daemon& daemon = *m_daemons[m_next_daemon++ % m_daemons.size()];
-    Call(daemon, method, id, body,
-         [this, method, id, body, done, prefix, name = daemon.Name()](
-             int status, const std::string& text) {
-           m_record.Line("client: " + method + " " + id + " at " + name +
-                         " -> " + std::to_string(status) + " " + text);
-           if (status == 0 || status == 429 || status >= 500) {
-             m_reactor.After(300, [=, this] {
-               CallUntilAnswered(method, id, body, done, prefix);
-             });
-           } else {
-             done(status, text);
-           }
-         }, prefix);
-  }
-
-  // The name of the daemon whose record in the store names it as the holder;
-  // used only to choose whom a fault hits.
-  Daemon* Leader(const std::string& owner_text) {
+    Call(
+        daemon, method, id, body,
+        [this, method, id, body, done, prefix, name = daemon.Name()](
+            int status, const std::string& text) {
+          m_record.Line("client: " + method + " " + id + " at " + name +
+                        " -> " + std::to_string(status) + " " + text);
+          if (status == 0 || status == 429 || status >= 500) {
+            m_reactor.After(300, [=, this] {
+              CallUntilAnswered(method, id, body, done, prefix);
+            });
+          } else {
+            done(status, text);
+          }
+        },
+        prefix);
+  }
+
+  // Null if no daemon leads. The name is read from the leader's record in the
+  // store; it only decides whom a fault hits.
+  Daemon* FindLeader() {
+    const std::string record = m_store.Value("mustardslip/owner");
     for (auto& daemon : m_daemons) {
-      if (owner_text.find("\"" + daemon->Name() + "-") != std::string::npos) {
+      if (record.find("\"" + daemon->Name() + "-") != std::string::npos) {
         return daemon.get();
       }
     }
     return nullptr;
   }
-  // Reads the owner's record from the store.
-  void FindLeader(std::function<void(Daemon*)> done) {
-    HttpCall call;
-    call.m_target = "/api/kv-range?prefix=mustardslip%2Fowner";
-    const auto address = mustardslip::ParseEndpoint(m_store.AddressText());
-    m_http.Call(*address, std::move(call),
-                [this, done = std::move(done)](Result<HttpResponse> answer) {
-                  Daemon* found = nullptr;
-                  if (answer) {
-                    const Json body =
-                        Json::parse(answer->m_body, nullptr, false);
-                    for (const Json& item : body.value("items", Json::array())) {
-                      found = Leader(Decode(item.at("value")));
-                    }
-                  }
-                  done(found);
-                });
-  }
-
-  static std::string Decode(const std::string& text) {
-    static const std::string kDigits =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    std::string bytes;
-    unsigned value = 0;
-    int bits = 0;
-    for (const char one : text) {
-      const std::size_t digit = kDigits.find(one);
-      if (digit == std::string::npos) {
-        break;
-      }
-      value = (value << 6U) | static_cast<unsigned>(digit);
-      bits += 6;
-      if (bits >= 8) {
-        bits -= 8;
-        bytes.push_back(static_cast<char>((value >> bits) & 0xFFU));
-      }
-    }
-    return bytes;
-  }
 
  private:
   Reactor m_reactor;
-  mustardslip::platform::soak::Random m_random{1};
   const std::string m_program;
   Record m_record;
-  EmulatedStore m_store;
+  Store m_store;
   EventHttpClient m_http;
   std::string m_folder;
   bool m_trouble = true;
--- a/review/6/hopeless.cc
+++ b/review/6/hopeless.cc
@@ -52,17 +52,21 @@
   }
 
   // The mean of counter-lookup on the site's sheet.
-  const bed::Json sound = {
-      {"spec", bed::Json{{"work_ms", 1'000}}.dump()},
-      {"steps",
-       {{{"count", 2}, {"cpu", 5'600}, {"mem_mb", 8'000},
-         {"estimate_ms", 1'000}}}}};
+  const bed::Json sound = {{"spec", bed::Json{{"work_ms", 1'000}}.dump()},
+                           {"steps",
+                            {{{"count", 2},
+                              {"cpu", 5'600},
+                              {"mem_mb", 8'000},
+                              {"estimate_ms", 1'000}}}}};
   // It asks for GPUs, of which the fleet has none.
-  const bed::Json gang = {
-      {"spec", bed::Json{{"work_ms", 4'000}}.dump()},
-      {"steps",
-       {{{"count", 4}, {"cpu", 18'000}, {"mem_mb", 33'000}, {"gpu", 1},
-         {"estimate_ms", 4'000}, {"gang", true}}}}};
+  const bed::Json gang = {{"spec", bed::Json{{"work_ms", 4'000}}.dump()},
+                          {"steps",
+                           {{{"count", 4},
+                             {"cpu", 18'000},
+                             {"mem_mb", 33'000},
+                             {"gpu", 1},
+                             {"estimate_ms", 4'000},
+                             {"gang", true}}}}};
   std::function<void(unsigned)> submit_sound = [&](unsigned number) {
     const std::string id = bed::JobId(number);
     bed.CallUntilAnswered("POST", id, sound.dump(),
@@ -98,9 +102,9 @@
     for (const auto& worker : bed.Workers()) {
       in_use += worker->RunCount();
     }
-    bed.Rec().Line("runs on all workers: " + std::to_string(in_use) +
-                   ", jobs with nothing running: " +
-                   std::to_string(idle.size()));
+    bed.Rec().Line(
+        "runs on all workers: " + std::to_string(in_use) +
+        ", jobs with nothing running: " + std::to_string(idle.size()));
   });
   bed.Loop().After(kJudgedFromMs + kJudgedMs, [&] {
     for (const std::string& id : std::set<std::string>(idle)) {
--- a/review/8/cancelled.cc
+++ b/review/8/cancelled.cc
@@ -1,6 +1,6 @@
 // Case 8: a service is cancelled while its worker is cut off for a few seconds,
 // and the leading daemon is killed before the worker is back.
-#include "bed.h"
+#include "../6/bed.h"
 
 namespace {
 
@@ -54,11 +54,13 @@
     bed.AddDaemon();
   }
 
-  const bed::Json job = {
-      {"spec", bed::Json{{"work_ms", 0}}.dump()},
-      {"steps",
-       {{{"count", 1}, {"cpu", 2'000}, {"mem_mb", 1'024},
-         {"estimate_ms", 1'000}, {"long_lived", true}}}}};
+  const bed::Json job = {{"spec", bed::Json{{"work_ms", 0}}.dump()},
+                         {"steps",
+                          {{{"count", 1},
+                            {"cpu", 2'000},
+                            {"mem_mb", 1'024},
+                            {"estimate_ms", 1'000},
+                            {"long_lived", true}}}}};
   bed.Loop().After(5'000, [&] {
     bed.CallUntilAnswered("POST", service, job.dump(),
                           [&](int status, const std::string&) {
@@ -68,11 +70,13 @@
   // Sound jobs beside it.
   std::function<void(unsigned)> submit_sound = [&](unsigned number) {
     const bed::Json sound = {
-        {"spec", bed::Json{{"work_ms", 100},
-                           {"text", std::string(kSpecBytes, 'x')}}
-                     .dump()},
+        {"spec",
+         bed::Json{{"work_ms", 100}, {"text", std::string(kSpecBytes, 'x')}}
+             .dump()},
         {"steps",
-         {{{"count", 1}, {"cpu", 500}, {"mem_mb", 256},
+         {{{"count", 1},
+           {"cpu", 500},
+           {"mem_mb", 256},
            {"estimate_ms", 100}}}}};
     bed.CallUntilAnswered("POST", bed::JobId(number), sound.dump(),
                           [](int, const std::string&) {});
@@ -90,11 +94,9 @@
       }
     });
     bed.Loop().After(kKillAtMs, [&] {
-      bed.FindLeader([&](bed::Daemon* leader) {
-        if (leader != nullptr) {
-          leader->Kill(kDownMs);
-        }
-      });
+      if (bed::Daemon* leader = bed.FindLeader()) {
+        leader->Kill(kDownMs);
+      }
     });
   }
   bed.Loop().After(kCancelAtMs, [&] {
@@ -119,17 +121,16 @@
   // RULES: a task of a cancelled job has to be gone after any stretch of
   // cancel_ms + stop_ms with no disruption near.
   const std::int64_t calm_from_ms =
-      bed.Trouble() ? std::max(kCutAtMs + kCutMs, kKillAtMs + kDownMs) +
-                          bed::kContactMs
-                    : cancelled_ms;
-  calm_ms = std::max(calm_from_ms, cancelled_ms) + bed::kCancelMs +
-            bed::kStopMs;
-  bed.Rec().Line("accepted at " + std::to_string(accepted_ms) +
-                 " ms, cancelled at " + std::to_string(cancelled_ms) +
-                 " ms, has to be gone at " + std::to_string(calm_ms) +
-                 " ms, was gone at " + std::to_string(gone_ms) +
-                 " ms (0: never), sound tasks done: " +
-                 std::to_string(sound_done));
+      bed.Trouble()
+          ? std::max(kCutAtMs + kCutMs, kKillAtMs + kDownMs) + bed::kContactMs
+          : cancelled_ms;
+  calm_ms =
+      std::max(calm_from_ms, cancelled_ms) + bed::kCancelMs + bed::kStopMs;
+  bed.Rec().Line(
+      "accepted at " + std::to_string(accepted_ms) + " ms, cancelled at " +
+      std::to_string(cancelled_ms) + " ms, has to be gone at " +
+      std::to_string(calm_ms) + " ms, was gone at " + std::to_string(gone_ms) +
+      " ms (0: never), sound tasks done: " + std::to_string(sound_done));
   if (accepted_ms == 0 || cancelled_ms == 0 || sound_done == 0) {
     return 2;
   }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,14 +1,13 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and clients of the scripts of the cases 6 to 10 into
-# review/6/bin, from these folders and the project's own stand-in of the store.
+# Builds the stand-ins and clients of the scripts of the cases 6 to 9 into
+# review/6/bin, from these folders and the project's HTTP library.
 # Needs g++ and the Debian packages that the deploy file names.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=review/6/bin
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -Wextra -I. -ISource/Core -Iplatform)
-sources=(platform/soak/store_model.cc platform/soak/emulated_store.cc
-  Source/Core/transport/event_http.cc Source/Core/transport/traffic_meter.cc
+flags=(-std=c++20 -O1 -Wall -Wextra -ISource/Core)
+sources=(Source/Core/transport/event_http.cc Source/Core/transport/traffic_meter.cc
   Source/Core/transport/http_client.cc
   Source/Core/common/logger.cc Source/Core/common/result.cc)
 jobs=()
@@ -16,9 +15,8 @@
   g++ "${flags[@]}" -c "$source" -o "$out/$(basename "$source" .cc).o" &
   jobs+=($!)
 done
-for source in review/[6-9]/*.cc review/10/*.cc; do
-  [[ -e $source ]] || continue
-  g++ "${flags[@]}" -Ireview/6 -c "$source" \
+for source in review/[6-9]/*.cc; do
+  g++ "${flags[@]}" -c "$source" \
     -o "$out/case_$(basename "$source" .cc).o" &
   jobs+=($!)
 done
@@ -29,8 +27,7 @@
 for source in "${sources[@]}"; do
   shared+=("$out/$(basename "$source" .cc).o")
 done
-for source in review/[6-9]/*.cc review/10/*.cc; do
-  [[ -e $source ]] || continue
+for source in review/[6-9]/*.cc; do
   name=$(basename "$source" .cc)
   g++ -o "$out/$name" "$out/case_$name.o" "${shared[@]}" -levent_core \
     -levent_extra -lcxxtools-http -lcxxtools -labsl_strings \
