--- a/review/6/bed.h
+++ b/review/6/bed.h
@@ -1,10 +1,11 @@
-// Test bed of the cases 6 to 10: starts the daemons of the deploy file on
+// Test bed of the cases 6 to 9: starts the daemons of the deploy file on
 // loopback addresses, with stand-ins of the platform's store, of the workers
 // and of the clients. All stand-ins run on one reactor.
 #pragma once
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -186,6 +187,8 @@
       std::exit(2);
     }
     if (m_pid == 0) {
+      // Ends with the test bed, also if that is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int output =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       dup2(output, STDOUT_FILENO);
