Gangs that cannot start keep no room

Cause: ReserveForGang reserved VMs whether or not the fleet could ever hold the gang; for members that fit on no VM it reserved every VM whole in each pass, and a late large gang comes first. Any reason does it: memory, processors, more members than the fleet, the label or the limit per VM hold, VMs that drained, shrank or left, a lowered cap, services that leave too little, too few recommended VMs. The same gang also kept its team's cap and used up the turn of late gangs.

Change: a pass first asks whether the team's cap and the usable VMs could hold the gang once all runs that are not long-lived had ended. If not, it reserves nothing, asks for no advice and takes no turn; checked again after 500 ms. A reservation on a full VM is no more than the members need there. Charges of long-lived runs are summed separately for this.

--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -275,6 +275,13 @@
     m_core->OnRules(m_rules, Now());
   }
 
+  // The team's limits are in force from now on, also for later owners.
+  void SetTeam(const std::string& team, const TeamLimits& limits) {
+    ++m_rules.m_version;
+    m_rules.m_teams[team] = limits;
+    m_core->OnRules(m_rules, Now());
+  }
+
   // Replaces the core by a new owner that recovers from the stored log.
   void TakeOver() {
     m_core = std::make_unique<CellCore>(CellBounds{});
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -81,9 +81,9 @@
   return IncarnationsOf(life.m_id).back()->Incarnation().m_born > life.m_born;
 }
 
-Resources CellState::TeamUsage(const std::string& team) const {
+Usage CellState::TeamUsage(const std::string& team) const {
   const auto found = m_team_usage.find(team);
-  return found == m_team_usage.end() ? Resources{} : found->second;
+  return found == m_team_usage.end() ? Usage{} : found->second;
 }
 
 StepState* CellState::FindStep(const TaskRef& task) {
@@ -171,12 +171,11 @@
   ++job.m_open_runs;
   job.m_started = true;
 
-  const Resources charge = spec.Charge();
+  const RunCharge charge{spec.Charge(), spec.m_long_lived};
   VmState& vm = FindOrCreateVm(record.m_vm);
   vm.m_open[{record.m_task, record.m_run}] = charge;
-  vm.m_used = vm.m_used + charge;
-  Resources& usage = m_team_usage[job.m_spec.m_team];
-  usage = usage + spec.m_resources;
+  vm.m_used.Add(charge);
+  m_team_usage[job.m_spec.m_team].Add({spec.m_resources, spec.m_long_lived});
   m_changed.push_back(record.m_task.m_job);
 }
 
@@ -185,7 +184,7 @@
   vm.m_last_end = std::max(vm.m_last_end, record.m_sequence);
   if (const auto open = vm.m_open.find({record.m_task, record.m_run});
       open != vm.m_open.end()) {
-    vm.m_used = vm.m_used - open->second;
+    vm.m_used.Remove(open->second);
     vm.m_open.erase(open);
   }
   Job* job = FindJob(record.m_task.m_job);
@@ -213,8 +212,8 @@
   task.m_open.erase(run);
   --step.m_open;
   --job.m_open_runs;
-  Resources& usage = m_team_usage[job.m_spec.m_team];
-  usage = usage - job.m_spec.m_steps[record.m_task.m_step].m_resources;
+  const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
+  m_team_usage[job.m_spec.m_team].Remove({spec.m_resources, spec.m_long_lived});
 }
 
 void CellState::CountEnd(Job& job, const RunEnded& record) {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -47,7 +47,7 @@
 
   // Resources of all open runs of the team, including runs that may have ended
   // or may not have started.
-  Resources TeamUsage(const std::string& team) const;
+  Usage TeamUsage(const std::string& team) const;
 
   TaskState* FindTask(const TaskRef& task);
   StepState* FindStep(const TaskRef& task);
@@ -109,7 +109,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_active;
   std::map<VmIncarnation, VmState> m_vms;
-  std::unordered_map<std::string, Resources> m_team_usage;
+  std::unordered_map<std::string, Usage> m_team_usage;
   std::vector<std::string> m_changed;
   std::int64_t m_rules_version = 0;
 };
--- a/Source/Core/cell/gang_wait.h
+++ b/Source/Core/cell/gang_wait.h
@@ -17,14 +17,15 @@
   kRecommendation,  // The recommended VMs could not hold it when empty.
   kRoom,            // The recommended VMs have too little free capacity.
   kTicket,          // They have the capacity, but no valid tickets.
+  kTooLarge,        // The usable VMs could not hold it if only services ran.
 };
-inline constexpr std::size_t kGangWaitCauses = 6;
+inline constexpr std::size_t kGangWaitCauses = 7;
 
 // A stable name, for logs.
 inline std::string_view ToString(GangWaitCause cause) {
   constexpr std::array<std::string_view, kGangWaitCauses> kNames = {
-      "team_limit",     "other_gangs", "advice_call",
-      "recommendation", "room",        "ticket"};
+      "team_limit", "other_gangs", "advice_call", "recommendation",
+      "room",       "ticket",      "too_large"};
   return kNames.at(static_cast<std::size_t>(cause));
 }
 
@@ -75,8 +76,8 @@
   bool m_starts = false;
   std::int64_t m_total_ms = 0;
   GangWait m_wait;
-  // Members that the recommended VMs hold when empty, and now. 0 if the gang
-  // had neither a reservation nor a ticket in this pass.
+  // Members that the recommended VMs hold when only services run there, and
+  // now. 0 if the gang had neither a reservation nor a ticket in this pass.
   std::int64_t m_capacity = 0;
   std::int64_t m_room = 0;
 
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -139,6 +139,9 @@
   // logged (owner's steady clock).
   GangWait m_wait;
   std::int64_t m_wait_logged_ms = 0;
+  // Volatile, gangs only: when it is checked again whether the team's cap and
+  // the VMs could hold the gang; 0 if they could (owner's steady clock).
+  std::int64_t m_next_size_check_ms = 0;
   // Volatile: latest end of a ticket in m_advice, on the owner's steady clock.
   std::int64_t m_tickets_until_ms = 0;
   // Volatile: set while the step is in ReadySteps, which maintains it.
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -106,7 +106,8 @@
     return INT64_MAX;
   }
   const Resources capacity = Unlimited(limits->second.m_cap) -
-                             m_state.TeamUsage(team) - m_team_planned[team];
+                             m_state.TeamUsage(team).m_total -
+                             m_team_planned[team];
   return FitCount(step.Spec().m_resources, capacity);
 }
 
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -73,13 +74,18 @@
   bool IsLarge(const ReadyStep& step) const;
   static std::int64_t LatestStart(const ReadyStep& step);
   bool IsOfUse(const ReadyStep& step) const;
+  static std::int64_t TaskCount(const ReadyStep& step);
   static std::int64_t NeededCpuMillis(const ReadyStep& step);
   static void CountOverdue(const ReadyStep& step, Pool& pool);
   void PlaceGang(const ReadyStep& ready, Pool& pool, bool overdue);
-  void ReserveOfTeam(const ReadyStep& ready, std::int64_t tasks);
+  std::optional<GangWaitCause> WhyTooLarge(const ReadyStep& ready,
+                                           const PoolCapacity& pool) const;
+  bool TeamMayHold(const ReadyStep& ready) const;
+  bool PoolMayHold(const ReadyStep& ready, const PoolCapacity& pool) const;
   // How many members the VMs that may run a gang hold.
   struct GangRoom {
-    std::int64_t m_when_empty = 0;
+    // Once all runs that are not long-lived have ended.
+    std::int64_t m_in_time = 0;
     std::int64_t m_now = 0;
   };
 
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -17,6 +17,9 @@
 constexpr std::int64_t kLargeGangDivisor = 64;
 // A job is of use to its caller until this many times its objective.
 constexpr std::int64_t kUsefulObjectives = 3;
+// A gang that is too large is checked again at this interval: the check looks
+// at all VMs of the pool.
+constexpr std::int64_t kSizeCheckIntervalMs = 500;
 // A gang that waits is logged at this interval, and one that starts if it has
 // waited for longer than the second time.
 constexpr std::int64_t kGangDelayIntervalMs = 4'000;
@@ -66,7 +69,7 @@
                    });
   for (const ReadyStep& step : overdue) {
     Pool& pool = m_pools.at(step.m_job->m_spec.m_queue.m_service);
-    if (pool.m_overdue_share_used) {
+    if (pool.m_overdue_share_used || WhyTooLarge(step, pool.m_capacity)) {
       continue;
     }
     m_overdue_gangs.insert(step.m_state);
@@ -94,10 +97,13 @@
          due + kUsefulObjectives * objective;
 }
 
+std::int64_t SchedulingPass::TaskCount(const ReadyStep& step) {
+  return static_cast<std::int64_t>(step.m_state->m_tasks.size());
+}
+
 // Of all members of a gang.
 std::int64_t SchedulingPass::NeededCpuMillis(const ReadyStep& step) {
-  return step.Spec().Charge().m_cpu_millis *
-         static_cast<std::int64_t>(step.m_state->m_tasks.size());
+  return step.Spec().Charge().m_cpu_millis * TaskCount(step);
 }
 
 // Counts the gang's need against the share of the pool for overdue gangs. The
@@ -109,6 +115,53 @@
       pool.m_total_cpu_millis;
 }
 
+// What the gang could not start for, and so must not wait for, if all runs had
+// ended that are not long-lived: its team's cap, or the VMs that may run it,
+// with those that the advice service has not judged yet. Nullopt if it could.
+std::optional<GangWaitCause> SchedulingPass::WhyTooLarge(
+    const ReadyStep& ready, const PoolCapacity& pool) const {
+  StepState& state = *ready.m_state;
+  if (m_now.m_steady_ms < state.m_next_size_check_ms) {
+    return state.m_wait.Cause();
+  }
+  std::optional<GangWaitCause> cause;
+  if (!TeamMayHold(ready)) {
+    cause = GangWaitCause::kTeamLimit;
+  } else if (!PoolMayHold(ready, pool)) {
+    cause = GangWaitCause::kTooLarge;
+  }
+  state.m_next_size_check_ms =
+      cause ? m_now.m_steady_ms + kSizeCheckIntervalMs : 0;
+  return cause;
+}
+
+bool SchedulingPass::TeamMayHold(const ReadyStep& ready) const {
+  const std::string& team = ready.m_job->m_spec.m_team;
+  const auto limits = m_rules.m_teams.find(team);
+  if (limits == m_rules.m_teams.end()) {
+    return true;
+  }
+  const Resources in_time =
+      Unlimited(limits->second.m_cap) - m_state.TeamUsage(team).m_long_lived;
+  return FitCount(ready.Spec().m_resources, in_time) >= TaskCount(ready);
+}
+
+bool SchedulingPass::PoolMayHold(const ReadyStep& ready,
+                                 const PoolCapacity& pool) const {
+  const StepPlacement step(ready, m_now.m_steady_ms);
+  const std::int64_t tasks = TaskCount(ready);
+  std::int64_t held = 0;
+  for (const Slot& slot : pool.Slots()) {
+    if (step.HasRequiredLabel(slot) && !step.IsRejected(slot)) {
+      held += std::min(step.FitInTime(slot), tasks);
+    }
+    if (held >= tasks) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // `overdue`: the gang may reserve, whatever others have reserved, and also of
 // its team's cap.
 void SchedulingPass::PlaceGang(const ReadyStep& ready, Pool& pool,
@@ -118,6 +171,10 @@
     return;
   }
   StepPlacement step(ready, m_now.m_steady_ms);
+  if (const auto cause = WhyTooLarge(ready, pool.m_capacity)) {
+    NoteWait(step, *cause, {});
+    return;
+  }
   const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
   const bool may_reserve =
       overdue || pool.m_reserving_gangs < pool.m_max_reserving_gangs;
@@ -125,11 +182,13 @@
     NoteWait(step, GangWaitCause::kOtherGangs, {});
     return;
   }
-  const auto tasks = static_cast<std::int64_t>(state.m_tasks.size());
+  const std::int64_t tasks = TaskCount(ready);
   if (TeamHeadroom(ready) < tasks) {
     NoteWait(step, GangWaitCause::kTeamLimit, {});
     if (overdue) {
-      ReserveOfTeam(ready, tasks);
+      // Keeps other steps of the team from taking what becomes free of its cap.
+      Resources& planned = m_team_planned[ready.m_job->m_spec.m_team];
+      planned = planned + ready.Spec().m_resources * tasks;
     }
     return;
   }
@@ -148,23 +207,11 @@
   }
 }
 
-// Keeps other steps of the team from taking what becomes free of its cap. Not
-// for a gang that the cap never has room for.
-void SchedulingPass::ReserveOfTeam(const ReadyStep& ready, std::int64_t tasks) {
-  const std::string& team = ready.m_job->m_spec.m_team;
-  const Resources& need = ready.Spec().m_resources;
-  const Resources cap = Unlimited(m_rules.m_teams.at(team).m_cap);
-  if (FitCount(need, cap) >= tasks) {
-    m_team_planned[team] = m_team_planned[team] + need * tasks;
-  }
-}
-
 SchedulingPass::GangRoom SchedulingPass::RoomForGang(const StepPlacement& step,
                                                      PoolCapacity& pool) {
   GangRoom room;
-  const Resources charge = step.Spec().Charge();
   VisitAllowed(step, pool, [&](const Slot& slot) {
-    room.m_when_empty += FitCount(charge, slot.m_vm->m_description.m_capacity);
+    room.m_in_time += step.FitInTime(slot);
     room.m_now += step.Fit(slot);
   });
   return room;
@@ -173,7 +220,7 @@
 GangWaitCause SchedulingPass::WaitCauseOf(const StepPlacement& step,
                                           const GangRoom& room,
                                           std::int64_t tasks) const {
-  if (room.m_when_empty < tasks) {
+  if (room.m_in_time < tasks) {
     const StepState& state = step.State();
     return state.m_pending_advice_vms.empty() &&
                    state.m_next_advice_call_ms <= m_now.m_steady_ms
@@ -215,7 +262,7 @@
   m_result.m_gang_delays.push_back(
       {step.OwningJob().m_spec.m_id, ToString(step.Step().Ref()),
        state.m_tasks.size(), starts, state.m_wait.TotalMs(m_now.m_steady_ms),
-       state.m_wait, room.m_when_empty, room.m_now});
+       state.m_wait, room.m_in_time, room.m_now});
 }
 
 // Starts all members, or none if they do not fit.
@@ -255,7 +302,8 @@
 // Reserves capacity against later steps, which would otherwise take freed
 // capacity first, so that the gang would starve: the room that it can use
 // now, and for the members that do not fit yet the VMs with the most free
-// capacity, as many as hold these members when empty.
+// capacity, as many as hold these members in time; of each what the members
+// need there.
 void SchedulingPass::ReserveForGang(const StepPlacement& step, Pool& pool,
                                     std::int64_t tasks) {
   std::vector<Slot*> usable;
@@ -284,11 +332,11 @@
     }
   }
   for (Slot* slot : too_full) {
-    if (tasks <= 0) {
-      return;
+    const std::int64_t fit = std::min(step.FitInTime(*slot), tasks);
+    if (fit > 0) {
+      pool.m_capacity.Reserve(*slot, Min(charge * fit, slot->m_free));
+      tasks -= fit;
     }
-    tasks -= FitCount(charge, slot->m_vm->m_description.m_capacity);
-    pool.m_capacity.ReserveAll(*slot);
   }
 }
 
--- a/Source/Core/cell/step_placement.cc
+++ b/Source/Core/cell/step_placement.cc
@@ -17,8 +17,9 @@
   }
 }
 
-std::int64_t StepPlacement::Fit(const Slot& slot) const {
-  const std::int64_t fit = FitCount(m_spec.Charge(), slot.m_free);
+std::int64_t StepPlacement::FitIn(const Resources& room,
+                                  const Slot& slot) const {
+  const std::int64_t fit = FitCount(m_spec.Charge(), room);
   if (m_spec.m_max_per_vm == 0) {
     return fit;
   }
--- a/Source/Core/cell/step_placement.h
+++ b/Source/Core/cell/step_placement.h
@@ -29,7 +29,11 @@
 
   // How many tasks of the step fit on the VM, as far as the step's limit per VM
   // allows.
-  std::int64_t Fit(const Slot& slot) const;
+  std::int64_t Fit(const Slot& slot) const { return FitIn(slot.m_free, slot); }
+  // The same once all runs there that are not long-lived have ended.
+  std::int64_t FitInTime(const Slot& slot) const {
+    return FitIn(slot.m_vm->FreeInTime(), slot);
+  }
   // Counts a task that this pass places on the VM.
   void CountPlaced(const Slot& slot);
 
@@ -64,6 +68,8 @@
   }
 
  private:
+  std::int64_t FitIn(const Resources& room, const Slot& slot) const;
+
   const ReadyStep m_step;
   const StepSpec& m_spec;
   const std::int64_t m_now_ms;
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -51,6 +51,37 @@
   std::int64_t m_at_ms = 0;
 };
 
+// What one open run takes of its VM, or of its team's cap.
+struct RunCharge {
+  Resources m_amount;
+  // The run ends only when it is stopped or fails.
+  bool m_long_lived = false;
+
+  bool operator==(const RunCharge&) const = default;
+};
+
+// Sum of the charges of open runs.
+struct Usage {
+  Resources m_total;
+  // The part of long-lived runs.
+  Resources m_long_lived;
+
+  void Add(const RunCharge& charge) {
+    m_total = m_total + charge.m_amount;
+    if (charge.m_long_lived) {
+      m_long_lived = m_long_lived + charge.m_amount;
+    }
+  }
+  void Remove(const RunCharge& charge) {
+    m_total = m_total - charge.m_amount;
+    if (charge.m_long_lived) {
+      m_long_lived = m_long_lived - charge.m_amount;
+    }
+  }
+
+  bool operator==(const Usage&) const = default;
+};
+
 // Speed of a VM, estimated from the progress of its runs (vm_pace.h).
 enum class VmPace : std::uint8_t { kNormal, kSlow, kStalled };
 
@@ -66,8 +97,8 @@
   bool m_listed = false;
   // The VM accepted this owner's fence and then reported its lists of runs.
   bool m_fenced = false;
-  Resources m_used;
-  std::map<RunKey, Resources> m_open;
+  Usage m_used;
+  std::map<RunKey, RunCharge> m_open;
   VmClock m_clock;
   // Latest end of the lease that this owner granted, on the VM's clock.
   std::int64_t m_lease_until_vm_ms = 0;
@@ -111,7 +142,11 @@
   // owner stays listed, and one that is cut off from the list answers.
   bool HasCrashed() const { return m_seems_gone && !m_listed; }
   bool HasUnacknowledgedEnds() const { return m_acknowledged_end < m_last_end; }
-  Resources Free() const { return m_description.m_capacity - m_used; }
+  Resources Free() const { return m_description.m_capacity - m_used.m_total; }
+  // What is free once all runs that are not long-lived have ended.
+  Resources FreeInTime() const {
+    return m_description.m_capacity - m_used.m_long_lived;
+  }
   bool HasLabel(const std::string& label) const;
   // True if the VM has the step's required label or the step requires none.
   bool HasRequiredLabel(const StepSpec& step) const {
--- a/Source/Core/common/resources.h
+++ b/Source/Core/common/resources.h
@@ -53,6 +53,13 @@
   }
 };
 
+// The smaller amount in each dimension.
+inline Resources Min(const Resources& left, const Resources& right) {
+  return {std::min(left.m_cpu_millis, right.m_cpu_millis),
+          std::min(left.m_memory_mb, right.m_memory_mb),
+          std::min(left.m_accelerators, right.m_accelerators)};
+}
+
 inline void to_json(nlohmann::json& json, const Resources& value) {
   json = {{"cpu_millis", value.m_cpu_millis},
           {"memory_mb", value.m_memory_mb},
