--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -181,6 +181,9 @@
     Defer(StopJob{task.m_job});
     return;
   }
+  if (end == RunEnd::kFailed) {
+    m_state.FindTask(task)->m_last_failed_vm = vm.m_id;
+  }
   const bool gang = job->m_spec.m_steps[task.m_step].m_gang;
   if (gang && end != RunEnd::kDone) {
     StopGangRun(task, run, now);
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -179,7 +179,7 @@
   start.m_run = placement.m_run;
   start.m_vm = placement.m_vm;
   start.m_address = vm->m_description.m_address;
-  start.m_payload = job.m_payload;
+  start.m_payload = job.m_payload.m_text;
   start.m_ticket = placement.m_ticket;
   if (spec.m_checkpoint) {
     // All members of a gang resume from the first member's checkpoint.
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -478,6 +478,36 @@
   EXPECT_EQ(m_cell.m_starts.size(), 2U);
 }
 
+// Fails if the tasks of a cancelled service run on after the owner has changed,
+// as their VMs were cut off when it was cancelled (UNASKED, review/8), also
+// when the owner changes again.
+TEST_F(CellCoreTest, TasksOfACancelledServiceAreStoppedByTheNextOwner) {
+  for (const int takeovers : {1, 2}) {
+    SCOPED_TRACE(takeovers);
+    m_cell = CellHarness();
+    AddVms(3);
+    StepSpec service = CellHarness::Step(3, 1'000);
+    service.m_long_lived = true;
+    service.m_max_per_vm = 1;
+    m_cell.Submit(m_cell.Job(1, {service}));
+    m_cell.Run(200);
+    ASSERT_EQ(m_cell.RunningOf(1), 3U);
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      m_cell.Vm(vm).m_reachable = false;
+    }
+    m_cell.Cancel(1);
+    m_cell.Run(200);
+    for (int i = 0; i < takeovers; ++i) {
+      TakeOverFromSnapshot();
+    }
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      m_cell.Vm(vm).m_reachable = true;
+    }
+    m_cell.Run(1'000);
+    EXPECT_EQ(m_cell.RunningOf(1), 0U);
+  }
+}
+
 // Fails if a snapshot loses or repeats attempts of a gang: the failure of the
 // run that was open at the snapshot was not counted, and the gang ran once more
 // than its queue allows. Seen as BUDGET in the run tapfind scale-1.
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -33,6 +33,34 @@
 
 }  // namespace
 
+bool CellState::operator==(const CellState& other) const {
+  const auto same_job = [](const auto& left, const auto& right) {
+    const auto summary = SummaryOf(*left.second);
+    return left.first == right.first && summary == SummaryOf(*right.second) &&
+           (summary || *left.second == *right.second);
+  };
+  const auto same_id = [](const auto& left, const auto& right) {
+    return left.first == right.first;
+  };
+  const std::vector<const VmState*> vms = VmsInLog();
+  const std::vector<const VmState*> other_vms = other.VmsInLog();
+  return m_rules_version == other.m_rules_version &&
+         m_jobs.size() == other.m_jobs.size() &&
+         std::all_of(m_jobs.begin(), m_jobs.end(),
+                     [&](const auto& entry) {
+                       const auto found = other.m_jobs.find(entry.first);
+                       return found != other.m_jobs.end() &&
+                              same_job(entry, *found);
+                     }) &&
+         std::equal(m_active.begin(), m_active.end(), other.m_active.begin(),
+                    other.m_active.end(), same_id) &&
+         std::equal(vms.begin(), vms.end(), other_vms.begin(), other_vms.end(),
+                    [](const VmState* left, const VmState* right) {
+                      return *left == *right;
+                    }) &&
+         m_team_usage == other.m_team_usage;
+}
+
 void CellState::Apply(const LogRecord& record) {
   std::visit([this](const auto& one) { ApplyOne(one); }, record);
 }
@@ -177,6 +205,8 @@
   vm.m_used.Add(charge);
   m_team_usage[job.m_spec.m_team].Add({spec.m_resources, spec.m_long_lived});
   m_changed.push_back(record.m_task.m_job);
+  // In a snapshot the open runs of an ended job follow its end.
+  UpdateActive(record.m_task.m_job, job);
 }
 
 void CellState::ApplyOne(const RunEnded& record) {
@@ -213,7 +243,11 @@
   --step.m_open;
   --job.m_open_runs;
   const StepSpec& spec = job.m_spec.m_steps[record.m_task.m_step];
-  m_team_usage[job.m_spec.m_team].Remove({spec.m_resources, spec.m_long_lived});
+  Usage& usage = m_team_usage[job.m_spec.m_team];
+  usage.Remove({spec.m_resources, spec.m_long_lived});
+  if (usage == Usage{}) {
+    m_team_usage.erase(job.m_spec.m_team);
+  }
 }
 
 void CellState::CountEnd(Job& job, const RunEnded& record) {
@@ -246,9 +280,8 @@
         job.m_ended_unix_ms = record.m_unix_ms;
       }
     }
-  } else if (record.m_end == RunEnd::kFailed && !task.m_done &&
-             step.FailuresOf(spec, record.m_task.m_index).Add(record.m_run)) {
-    task.m_last_failed_vm = record.m_vm.m_id;
+  } else if (record.m_end == RunEnd::kFailed && !task.m_done) {
+    step.FailuresOf(spec, record.m_task.m_index).Add(record.m_run);
   }
 }
 
@@ -267,6 +300,8 @@
 void CellState::UpdateActive(const std::string& id, Job& job) {
   if (job.Ended() && job.m_open_runs == 0) {
     m_active.erase(id);
+  } else {
+    m_active[id] = &job;
   }
 }
 
@@ -387,14 +422,12 @@
 // Appends the snapshot records of one step: the state of its tasks to `records`
 // and its open runs to `open`, which the snapshot places after all states.
 // `ref` is the step's first task.
-void CellState::AppendStepSnapshot(const Job& job, TaskRef ref,
-                                   const StepState& step,
+void CellState::AppendStepSnapshot(TaskRef ref, const StepState& step,
                                    std::vector<LogRecord>& records,
                                    std::vector<LogRecord>& open) {
   for (; ref.m_index < step.m_tasks.size(); ++ref.m_index) {
     const TaskState& task = step.m_tasks[ref.m_index];
-    // An ended job needs no task state.
-    if (!job.Ended() && (task.m_last_run != 0 || task.m_done)) {
+    if (task.m_last_run != 0 || task.m_done) {
       records.push_back(TaskSnapshot{ref, task.m_last_run,
                                      task.m_failures.Count(), task.m_done,
                                      task.m_checkpoint});
@@ -415,6 +448,24 @@
   AppendCrashes(ref, step.m_gang_crashes, records);
 }
 
+std::optional<JobEnded> CellState::SummaryOf(const Job& job) {
+  if (!job.Ended() || job.m_open_runs > 0) {
+    return std::nullopt;
+  }
+  return JobEnded{job.m_spec.m_id, job.m_spec.m_queue.m_name, ResultOf(job),
+                  job.m_ended_unix_ms};
+}
+
+std::vector<const VmState*> CellState::VmsInLog() const {
+  std::vector<const VmState*> vms;
+  for (const auto& [life, vm] : m_vms) {
+    if (vm.m_last_end > 0 || !vm.m_open.empty()) {
+      vms.push_back(&vm);
+    }
+  }
+  return vms;
+}
+
 std::vector<LogRecord> CellState::Snapshot() const {
   std::vector<LogRecord> records;
   std::vector<LogRecord> open;
@@ -422,16 +473,15 @@
     records.push_back(RulesInForce{m_rules_version, {}});
   }
   for (const auto& [id, job] : m_jobs) {
-    if (job->Ended() && job->m_open_runs == 0) {
-      records.push_back(JobEnded{id, job->m_spec.m_queue.m_name, ResultOf(*job),
-                                 job->m_ended_unix_ms});
+    if (auto summary = SummaryOf(*job)) {
+      records.push_back(std::move(*summary));
       continue;
     }
     records.push_back(JobAccepted{job->m_spec, job->m_accepted_unix_ms});
     for (const auto& [number, occurrence] : job->m_occurrences) {
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-        AppendStepSnapshot(*job, {id, number, s, 0}, occurrence.m_steps[s],
-                           records, open);
+        AppendStepSnapshot({id, number, s, 0}, occurrence.m_steps[s], records,
+                           open);
       }
     }
     if (job->m_cancelled) {
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -22,6 +22,11 @@
 
 class CellState {
  public:
+  // True if a new owner that recovers either state does the same from then on.
+  // Of a job that has ended and has no open run only what a lookup returns
+  // counts, and a VM without open runs and ends not at all.
+  bool operator==(const CellState& other) const;
+
   // Applies one record. A record of an unknown job (one dropped after its
   // retention) does not change any job.
   void Apply(const LogRecord& record);
@@ -71,6 +76,11 @@
   std::int64_t RulesVersion() const { return m_rules_version; }
 
  private:
+  // Nullopt unless the job has ended and has no open run.
+  static std::optional<JobEnded> SummaryOf(const Job& job);
+  // The VMs of which something is in the log that a new owner needs.
+  std::vector<const VmState*> VmsInLog() const;
+
   // A task with the objects that contain it.
   struct TaskContext {
     Job& m_job;
@@ -95,8 +105,7 @@
   void ApplyOne(const FailedRunSnapshot& record);
   void ApplyOne(const CrashSuspicion& record);
   void ApplyOne(const RulesInForce& record);
-  static void AppendStepSnapshot(const Job& job, TaskRef ref,
-                                 const StepState& step,
+  static void AppendStepSnapshot(TaskRef ref, const StepState& step,
                                  std::vector<LogRecord>& records,
                                  std::vector<LogRecord>& open);
 
--- a/Source/Core/cell/job_state.cc
+++ b/Source/Core/cell/job_state.cc
@@ -104,7 +104,8 @@
   Job job;
   job.m_spec = record.m_spec;
   job.m_accepted_unix_ms = record.m_accepted_unix_ms;
-  job.m_payload = std::make_shared<const std::string>(record.m_spec.m_payload);
+  job.m_payload.m_text =
+      std::make_shared<const std::string>(record.m_spec.m_payload);
   if (record.m_spec.m_schedule.m_repeats == 0) {
     job.OccurrenceAt(0);
   }
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -62,6 +62,8 @@
 
   // True if the VM listed the run to this owner: the start was executed there.
   bool Listed() const { return m_progress.Reported(); }
+
+  bool operator==(const OpenRun&) const = default;
 };
 
 // Runs under which a VM crashed right after it was told to start them.
@@ -79,6 +81,8 @@
     constexpr std::uint32_t kMaxAll = 4;
     return m_alone.Count() >= kMaxAlone || m_all.Count() >= kMaxAll;
   }
+
+  bool operator==(const CrashedRuns&) const = default;
 };
 
 struct TaskState {
@@ -95,6 +99,8 @@
   // Volatile: runs stopped in order to continue on another VM. Gangs count it
   // in their first member only.
   std::uint32_t m_moves = 0;
+
+  bool operator==(const TaskState&) const = default;
 };
 
 // The advice service's verdict on one VM for one step. The verdict does not
@@ -105,6 +111,8 @@
   std::int64_t m_born = 0;
   // Owner's steady clock.
   std::int64_t m_valid_until_ms = 0;
+
+  bool operator==(const Advice&) const = default;
 };
 
 // A step's place in the scheduling order (see ReadySteps).
@@ -168,6 +176,8 @@
   bool IsSuspect(const StepSpec& spec, std::uint32_t task) const {
     return CrashesOf(spec, task).m_all.Count() > 0;
   }
+
+  bool operator==(const StepState&) const = default;
 };
 
 struct Occurrence {
@@ -175,6 +185,8 @@
   std::uint32_t m_done_steps = 0;
 
   bool Done() const { return m_done_steps == m_steps.size(); }
+
+  bool operator==(const Occurrence&) const = default;
 };
 
 enum class JobPhase : std::uint8_t {
@@ -187,6 +199,15 @@
 
 std::string_view ToString(JobPhase phase);
 
+// Text that its users share, compared by its content.
+struct SharedText {
+  std::shared_ptr<const std::string> m_text = std::make_shared<std::string>();
+
+  bool operator==(const SharedText& other) const {
+    return *m_text == *other.m_text;
+  }
+};
+
 struct Job {
   WorkflowSpec m_spec;
   std::int64_t m_accepted_unix_ms = 0;
@@ -213,7 +234,9 @@
   // Volatile: VMs on which a run of the job failed.
   std::set<std::string> m_failed_on;
   // The payload, shared by all starts.
-  std::shared_ptr<const std::string> m_payload;
+  SharedText m_payload;
+
+  bool operator==(const Job&) const = default;
 
   JobPhase Phase() const;
   bool Ended() const { return m_cancelled || m_failed || m_complete; }
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -2,6 +2,7 @@
 #include "cell/log_record.h"
 
 #include <array>
+#include <cmath>
 
 #include "cell/byte_codec.h"
 
@@ -98,17 +99,21 @@
   return step;
 }
 
+// Rounds, so that a value that was read is written the same again.
+void WriteFraction(ByteWriter& out, double value) {
+  out.Signed(std::llround(value * kFractionScale));
+}
+
 void Write(ByteWriter& out, const QueueRules& queue) {
   out.Text(queue.m_name);
   out.Text(queue.m_service);
   out.Signed(queue.m_priority);
   out.Signed(queue.m_max_attempts);
-  out.Signed(static_cast<std::int64_t>(queue.m_stretch * kFractionScale));
+  WriteFraction(out, queue.m_stretch);
   out.Signed(queue.m_target_latency_ms);
   out.Bool(queue.m_needs_advice);
   out.Signed(queue.m_advice_base_ms);
-  out.Signed(
-      static_cast<std::int64_t>(queue.m_advice_per_vm_ms * kFractionScale));
+  WriteFraction(out, queue.m_advice_per_vm_ms);
   out.Signed(queue.m_advice_validity_ms);
 }
 
--- a/Source/Core/cell/run_progress.h
+++ b/Source/Core/cell/run_progress.h
@@ -32,6 +32,8 @@
 
   static constexpr double kWholePercent = 100;
 
+  bool operator==(const RunProgress&) const = default;
+
  private:
   bool m_reported = false;
   double m_percent = 0;
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -42,6 +42,8 @@
   // Known().
   std::int64_t LowerBoundMs(std::int64_t now_ms) const;
 
+  bool operator==(const VmClock&) const = default;
+
  private:
   // Minimum rate of a VM's clock, in percent of real time.
   static constexpr std::int64_t kMinRatePercent = 98;
@@ -157,6 +159,8 @@
   bool IsAvoided(std::int64_t now_ms) const {
     return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
   }
+
+  bool operator==(const VmState&) const = default;
 };
 
 }  // namespace mustardslip
