The answer to a start moves no clock of a VM

Found while tracing the tasks that ran twice after restarts under old ids.

OnStartAnswer took the time for the clock of the former one. If the new clock is ahead, the lease seemed to have expired, and with the VM's entry away its runs were closed and repeated at once (TWICE).

Change: only polls, which name the incarnation, tell a VM's clock. The harness can now simulate leases, fences and late calls.

--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -246,9 +246,7 @@
     return;
   }
   VmState* vm = m_state.FindVm(answer.m_vm);
-  if (vm != nullptr && answer.m_vm_ms != 0) {
-    vm->m_clock.OnAnswer(answer.m_vm_ms, now.m_steady_ms);
-  }
+  // The answer does not name the incarnation, so it tells nothing of the clock.
   switch (answer.m_outcome) {
     case StartOutcome::kStarted:
       if (run->m_phase == RunPhase::kPlanned && run->m_vm == answer.m_vm) {
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -40,6 +40,22 @@
   std::vector<StartRun> m_late_starts;
   // Stopped runs; a start that arrives after the stop is rejected.
   std::set<RunKey> m_stopped;
+  // With CellHarness::m_simulate_leases, on the VM's clock: when its runs end
+  // unless a call extends the lease, and the highest fence that it has seen.
+  std::int64_t m_lease_until_vm_ms = 0;
+  int m_fence = 0;
+  // If false, polls are executed but not answered.
+  bool m_answers_polls = true;
+};
+
+// A call that did not reach its VM in time and is executed later.
+struct LateCall {
+  std::string m_vm;
+  std::int64_t m_due_ms = 0;
+  int m_fence = 0;
+  std::optional<std::int64_t> m_deadline_vm_ms;
+  // Empty for a poll.
+  std::optional<StartRun> m_start;
 };
 
 class CellHarness {
@@ -172,6 +188,8 @@
     for (std::int64_t passed = 0; passed < ms; passed += kStepMs) {
       m_now_ms += kStepMs;
       Work(kStepMs);
+      ExecuteLateCalls();
+      EndExpiredRuns();
       m_core->OnTick(Now());
       Look();
       Pump();
@@ -216,12 +234,13 @@
     }
     for (const VmIncarnation& asked : polled) {
       VmState* state = m_core->State().FindVm(asked);
-      if (!vm.m_reachable) {
+      const auto deadline = m_core->NextLease(*state, Now());
+      Deliver(vm, {actual.m_id, 0, m_owner_fence, deadline, std::nullopt});
+      if (!vm.m_reachable || !vm.m_answers_polls) {
         m_core->OnVmCallFailed(asked, vm.m_failure, Now());
       } else if (asked != actual) {
         m_core->OnOtherIncarnation(asked, Report(vm), Now());
       } else {
-        m_core->NextLease(*state, Now());
         std::erase_if(vm.m_ended, [&](const ReportedEnd& end) {
           return state->m_fenced && end.m_sequence <= state->m_durable_end;
         });
@@ -284,6 +303,7 @@
 
   // Replaces the core by a new owner that recovers from the stored log.
   void TakeOver() {
+    ++m_owner_fence;
     m_core = std::make_unique<CellCore>(CellBounds{});
     m_core->OnRules(m_rules, Now());
     Recover();
@@ -291,6 +311,7 @@
 
   // The same, but the new owner has not read the configuration yet.
   void TakeOverWithoutConfiguration() {
+    ++m_owner_fence;
     m_core = std::make_unique<CellCore>(CellBounds{});
     Recover();
   }
@@ -339,6 +360,13 @@
   };
   std::int64_t m_ticket_validity_ms = 2'000;
   std::vector<LogRecord> m_log;
+  // VMs end runs whose lease has expired, and refuse calls with a lower fence.
+  bool m_simulate_leases = false;
+  // When a call to an unreachable VM is executed, counted from when it is sent;
+  // 0 for never.
+  std::int64_t m_late_call_ms = 0;
+  // Starts of a task that was running already.
+  std::vector<TaskRef> m_started_twice;
 
  private:
   static constexpr std::int64_t kUnixStartMs = 1'800'000'000'000;
@@ -375,21 +403,89 @@
       vm.m_late_starts.push_back(start);
       return;
     }
-    if (!vm.m_reachable) {
-      return;
-    }
-    Arrive(vm, start);
-    if (vm.m_answers_starts) {
+    const bool executed = Deliver(
+        vm, {start.m_vm.m_id, 0, m_owner_fence, start.m_deadline_vm_ms, start});
+    if (vm.m_reachable && vm.m_answers_starts) {
       m_core->OnStartAnswer(
-          {start.m_task, start.m_run, start.m_vm, StartOutcome::kStarted,
+          {start.m_task, start.m_run, start.m_vm,
+           executed ? StartOutcome::kStarted : StartOutcome::kRefused,
            m_now_ms + vm.m_clock_offset_ms, ""},
           Now());
     }
   }
 
-  static void Arrive(SimulatedVm& vm, const StartRun& start) {
-    if (vm.m_stopped.count({start.m_task, start.m_run}) == 0) {
-      vm.m_running.push_back({start.m_task, start.m_run});
+  void Arrive(SimulatedVm& vm, const StartRun& start) {
+    if (vm.m_stopped.count({start.m_task, start.m_run}) != 0) {
+      return;
+    }
+    for (const auto& [id, other] : m_vms) {
+      for (const SimulatedVm::Running& run : other.m_running) {
+        if (run.m_task == start.m_task) {
+          m_started_twice.push_back(start.m_task);
+        }
+      }
+    }
+    vm.m_running.push_back({start.m_task, start.m_run});
+  }
+
+  // The call reaches the VM now, later or never. True if it was executed now.
+  bool Deliver(SimulatedVm& vm, LateCall call) {
+    if (vm.m_reachable) {
+      return Execute(vm, call);
+    }
+    if (m_late_call_ms > 0) {
+      call.m_due_ms = m_now_ms + m_late_call_ms;
+      m_late_calls.push_back(std::move(call));
+    }
+    return false;
+  }
+
+  // Whatever incarnation of the VM the call was meant for. False if the VM
+  // refuses it.
+  bool Execute(SimulatedVm& vm, const LateCall& call) {
+    if (m_simulate_leases) {
+      const std::int64_t vm_now_ms = m_now_ms + vm.m_clock_offset_ms;
+      if (call.m_fence < vm.m_fence) {
+        return false;
+      }
+      vm.m_fence = call.m_fence;
+      if (call.m_start && *call.m_deadline_vm_ms < vm_now_ms) {
+        return false;
+      }
+      if (call.m_deadline_vm_ms) {
+        vm.m_lease_until_vm_ms =
+            std::max(vm.m_lease_until_vm_ms,
+                     std::min(*call.m_deadline_vm_ms,
+                              vm_now_ms + CellBounds{}.m_max_lease_ms));
+      }
+    }
+    if (call.m_start) {
+      Arrive(vm, *call.m_start);
+    }
+    return true;
+  }
+
+  void ExecuteLateCalls() {
+    std::vector<LateCall> waiting;
+    for (const LateCall& call : std::exchange(m_late_calls, {})) {
+      if (call.m_due_ms > m_now_ms) {
+        waiting.push_back(call);
+      } else {
+        Execute(m_vms.at(call.m_vm), call);
+      }
+    }
+    m_late_calls = std::move(waiting);
+  }
+
+  void EndExpiredRuns() {
+    for (auto& [id, vm] : m_vms) {
+      if (m_simulate_leases &&
+          m_now_ms + vm.m_clock_offset_ms > vm.m_lease_until_vm_ms) {
+        for (const SimulatedVm::Running& run :
+             std::exchange(vm.m_running, {})) {
+          EndRun(vm, run, RunEnd::kLeaseExpired);
+        }
+      }
     }
   }
 
@@ -431,6 +527,8 @@
   std::uint64_t m_token = 0;
   std::map<std::uint64_t, CellAnswer> m_answers;
   std::map<std::string, SimulatedVm> m_vms;
+  std::vector<LateCall> m_late_calls;
+  int m_owner_fence = 1;
 };
 
 }  // namespace mustardslip
