Calls meant for a VM's former incarnation give the longest lease

Operators saw tasks run twice after workers restarted under their old ids and were cut off soon after (TWICE).

Cause: calls name a VM by its id alone. A deadline on the clock of the former incarnation may be far ahead of the clock of the new one, which cuts it to the longest lease (10 s), counted from when the call arrives. An owner that has just taken over knew of no former incarnation and counted its own lease (5 s). The owner of the whole time counted the longest lease from the VM's first answer, but its own calls that were underway gave it anew when they arrived.

Change, by knowledge before waiting: - The VM's own start time tells its age: for a VM older than the time in which such calls can arrive, the short lease stays right.

Figure: a cut VM that began over 25 s before the takeover is waited for as before, 5.3 s from its last answer; a younger one for at most 10.3 s from its first.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -27,7 +27,7 @@
 }
 
 void CellCore::OnRecovered(const CellTime& now) {
-  m_recovered_ms = now.m_steady_ms;
+  m_recovered_at = now;
   m_state.TakeChangedJobs();
   for (auto& [id, job] : m_state.Jobs()) {
     job->m_visible_phase = job->Phase();
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -125,7 +125,7 @@
   // The lease deadline to send with a call, on the VM's clock. Returns nullopt
   // if that clock is unknown or the VM does not answer: a delayed call must not
   // extend a lease whose expiry the owner is waiting for.
-  std::optional<std::int64_t> NextLease(VmState& vm, const CellTime& now) const;
+  std::optional<std::int64_t> NextLease(VmState& vm, const CellTime& now);
 
   // How long a poll of the VM may wait for a run to end, in milliseconds: until
   // the next expected end is overdue, so that a lost answer is detected then.
@@ -217,6 +217,12 @@
                          const CellTime& now);
   void EndEarlierIncarnations(const VmState& vm, const CellTime& now);
   void CarryOver(const RunKey& key, const VmState& from, const VmState& to);
+  void NoteDeadlineCall(const VmState& vm, const CellTime& now);
+  std::int64_t LongestLeaseMs() const;
+  std::int64_t FirstLeaseMs(const VmState& vm, const CellTime& now);
+  bool EarlierOwnersLeaseMayLast(const VmState& vm, const CellTime& now);
+  bool FormerCallsLeaseMayLast(const VmState& vm, const CellTime& now) const;
+  bool LeaseMayLast(const VmState& vm, const CellTime& now);
   bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
                                 const CellTime& now);
   void MarkRunsLost(VmState& vm, const CellTime& now);
@@ -259,13 +265,17 @@
   std::vector<Effect> m_effects;
   // Jobs with a first confirmed run that no log record shows yet.
   std::vector<std::string> m_newly_confirmed;
+  // When this owner last sent a call with a deadline to the incarnation
+  // (owner's steady clock). Kept while such a call may give a lease to the next
+  // one.
+  std::map<VmIncarnation, std::int64_t> m_deadline_calls;
   // Suspects of VMs whose lease expired before it was known whether they
   // crashed, as crashes to confirm.
   std::map<VmIncarnation, std::vector<CrashSuspicion>> m_lost_suspects;
   bool m_dirty = true;
   bool m_store_writable = true;
-  // Owner's steady clock when recovery finished.
-  std::int64_t m_recovered_ms = 0;
+  // When recovery finished.
+  CellTime m_recovered_at;
   std::int64_t m_last_sweep_ms = 0;
   std::int64_t m_next_stop_check_ms = 0;
   CellCounters m_counters;
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -193,6 +193,7 @@
       std::max(vm->m_lease_until_vm_ms, start.m_deadline_vm_ms);
   run->m_listed_after_vm_ms = start.m_deadline_vm_ms;
   run->m_start_sent_ms = now.m_steady_ms;
+  NoteDeadlineCall(*vm, now);
   NoteStart(placement, now);
   ++m_counters.m_starts;
   m_effects.push_back(std::move(start));
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -50,20 +50,15 @@
   if (!vm->m_fenced) {
     EndEarlierIncarnations(*vm, now);
     // An earlier owner may have extended the lease until now. From here on the
-    // VM refuses its calls. Orders to an earlier incarnation, whose clock shows
-    // more, have given this one the longest lease.
-    const bool first_of_its_id =
-        m_state.IncarnationsOf(report.m_vm.m_id).front() == vm;
-    const std::int64_t longest =
-        first_of_its_id ? kVmLeaseMs
-                        : std::max(kVmLeaseMs, m_bounds.m_max_lease_ms);
-    vm->m_lease_until_vm_ms =
-        std::max(vm->m_lease_until_vm_ms, report.m_vm_ms + longest);
+    // VM refuses its calls.
+    vm->m_lease_until_vm_ms = std::max(vm->m_lease_until_vm_ms,
+                                       report.m_vm_ms + FirstLeaseMs(*vm, now));
   }
   vm->m_fenced = true;
   vm->m_poll_due_ms = 0;
   vm->m_first_failed_call_ms = 0;
   vm->m_seems_gone = false;
+  vm->m_last_answer_ms = now.m_steady_ms;
   vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
   ProcessReportedEnds(*vm, report, now);
   ProcessReportedRuns(*vm, report);
@@ -246,7 +241,7 @@
     return;
   }
   VmState* vm = m_state.FindVm(answer.m_vm);
-  // The answer does not name the incarnation, so it tells nothing of the clock.
+  // The answer names no incarnation, so it tells nothing of a clock.
   switch (answer.m_outcome) {
     case StartOutcome::kStarted:
       if (run->m_phase == RunPhase::kPlanned && run->m_vm == answer.m_vm) {
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -16,6 +16,11 @@
 
 namespace mustardslip {
 
+// A deadline is sent to a VM for at most this long after its last answer. It is
+// on the clock of the incarnation that answered; to the next one, whose clock
+// may be far behind, the same deadline can give the longest lease.
+inline constexpr std::int64_t kMaxClockAgeMs = 10'000;
+
 // Entry of the platform's VM list.
 struct VmDescription {
   VmIncarnation m_incarnation;
@@ -118,6 +123,8 @@
   // Owner's steady clock: when the open poll should be answered, not counting
   // the network delay; 0 while none is open.
   std::int64_t m_poll_due_ms = 0;
+  // Owner's steady clock: when the incarnation last answered a poll.
+  std::int64_t m_last_answer_ms = 0;
   // Owner's steady clock: the first of the consecutive failed polls; 0 if the
   // last one was answered.
   std::int64_t m_first_failed_call_ms = 0;
@@ -154,6 +161,10 @@
   bool HasRequiredLabel(const StepSpec& step) const {
     return step.m_required_label.empty() || HasLabel(step.m_required_label);
   }
+  // True if no deadline may be sent: the VM may have restarted meanwhile.
+  bool IsClockOutdated(std::int64_t now_ms) const {
+    return now_ms - m_last_answer_ms > kMaxClockAgeMs;
+  }
   std::vector<RunKey> OpenRuns() const;
   // True if starts should prefer other VMs.
   bool IsAvoided(std::int64_t now_ms) const {
