A run that is being stopped takes room, also if it was closed

Cause: runs in a VM's list that the owner does not know, late starts among them, were stopped but not charged.

Change: the VM's newest list of such runs is charged until they are gone; all of the VM if the size of one is not known.

Measured: RunThatIsBeingStoppedTakesRoom failed without the charge, passes now.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -213,6 +213,7 @@
   // A VM executed a start of the task.
   void ConfirmRun(const TaskRef& task);
   void ProcessReportedRuns(VmState& vm, const VmReport& report);
+  void StopStrayRun(VmState& vm, const ReportedRun& listed);
   void CloseUnlistedRuns(VmState& vm, const VmReport& report,
                          const CellTime& now);
   void EndEarlierIncarnations(const VmState& vm, const CellTime& now);
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -81,15 +81,13 @@
 }
 
 void CellCore::ProcessReportedRuns(VmState& vm, const VmReport& report) {
+  vm.m_stray = {};
   for (const ReportedRun& listed : report.m_running) {
     OpenRun* run = m_state.FindRun(listed.m_task, listed.m_run);
     const bool ours = run != nullptr && run->m_vm == vm.Incarnation();
     if (!ours) {
-      // A late start whose run was already closed, or a run of an unknown job.
       if (vm.m_open.count({listed.m_task, listed.m_run}) == 0) {
-        m_effects.push_back(
-            StopRun{listed.m_task, listed.m_run, vm.Incarnation(),
-                    vm.m_description.m_address, StopReason::kUnknownRun});
+        StopStrayRun(vm, listed);
       }
       continue;
     }
@@ -110,6 +108,20 @@
   }
 }
 
+// A late start whose run was already closed, or a run of an unknown job. Until
+// it has ended it takes room; all of the VM if its size is not known.
+void CellCore::StopStrayRun(VmState& vm, const ReportedRun& listed) {
+  m_effects.push_back(StopRun{listed.m_task, listed.m_run, vm.Incarnation(),
+                              vm.m_description.m_address,
+                              StopReason::kUnknownRun});
+  const Job* job = m_state.FindJob(listed.m_task.m_job);
+  const bool known =
+      job != nullptr && listed.m_task.m_step < job->m_spec.m_steps.size();
+  vm.m_stray =
+      vm.m_stray + (known ? job->m_spec.m_steps[listed.m_task.m_step].Charge()
+                          : vm.m_description.m_capacity);
+}
+
 void CellCore::ConfirmRun(const TaskRef& task) {
   Job& job = *m_state.FindJob(task.m_job);
   if (!job.m_confirmed) {
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -35,6 +35,8 @@
   VmCallFailure m_failure = VmCallFailure::kNoAnswer;
   // If false, starts are executed but not answered.
   bool m_answers_starts = true;
+  // If false, stops are neither executed nor answered.
+  bool m_executes_stops = true;
   // If true, starts are kept in m_late_starts, neither executed nor answered.
   bool m_delays_starts = false;
   std::vector<StartRun> m_late_starts;
@@ -495,7 +497,7 @@
     const SimulatedVm::Running run{stop.m_task, stop.m_run};
     const bool runs = std::find(vm.m_running.begin(), vm.m_running.end(),
                                 run) != vm.m_running.end();
-    if (!vm.m_reachable) {
+    if (!vm.m_reachable || !vm.m_executes_stops) {
       return;
     }
     vm.m_stopped.insert({stop.m_task, stop.m_run});
--- a/Source/Core/cell/vm_lease_test.cc
+++ b/Source/Core/cell/vm_lease_test.cc
@@ -123,6 +123,31 @@
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
 }
 
+// Fails if a run that was closed and is still on its VM takes no room there:
+// starts brought the VM over its capacity while the run was being stopped
+// (LIMIT, recut).
+TEST_F(VmLeaseTest, RunThatIsBeingStoppedTakesRoom) {
+  AddNewVm("vm-0", 0);
+  m_cell.Run(200);
+  m_cell.Vm("vm-0").m_delays_starts = true;
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 60'000)}));
+  m_cell.Pump();
+  m_cell.Vm("vm-0").m_executes_stops = false;
+  m_cell.Vm("vm-0").m_delays_starts = false;
+  m_cell.Cancel(1);
+  m_cell.Run(kStartWindowMs + 500);
+  m_cell.DeliverLateStarts("vm-0");
+  m_cell.Run(100);
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 60'000)}));
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(2), 0U);
+  m_cell.Vm("vm-0").m_executes_stops = true;
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(1), 0U);
+  EXPECT_EQ(m_cell.RunningOf(2), 1U);
+}
+
 // Fails if runs on a VM that has run for long wait for the longest lease: tasks
 // of a VM that is cut off were restarted later than need be.
 TEST_F(VmLeaseTest, RunsOfAnOldVmAreRepeatedAfterTheShortLease) {
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -106,6 +106,9 @@
   bool m_fenced = false;
   Usage m_used;
   std::map<RunKey, RunCharge> m_open;
+  // Charges of runs in the VM's newest list that are not open: they are being
+  // stopped.
+  Resources m_stray;
   VmClock m_clock;
   // Latest end of the lease that this owner granted, on the VM's clock.
   std::int64_t m_lease_until_vm_ms = 0;
@@ -151,7 +154,9 @@
   // owner stays listed, and one that is cut off from the list answers.
   bool HasCrashed() const { return m_seems_gone && !m_listed; }
   bool HasUnacknowledgedEnds() const { return m_acknowledged_end < m_last_end; }
-  Resources Free() const { return m_description.m_capacity - m_used.m_total; }
+  Resources Free() const {
+    return m_description.m_capacity - m_used.m_total - m_stray;
+  }
   // What is free once all runs that are not long-lived have ended.
   Resources FreeInTime() const {
     return m_description.m_capacity - m_used.m_long_lived;
