A gang that charges nothing starts

Cause: such a task fits INT64_MAX times on a VM, and the sum over VMs overflowed: it was negative while the number of usable VMs was even.

Change: how many tasks of a step fit on a VM is bounded by the most tasks that a step may have, so that sums stay in range.

Measured: GangThatChargesNothingStarts failed before in both forms, passes now.

--- a/Source/Core/cell/gang_reservation_test.cc
+++ b/Source/Core/cell/gang_reservation_test.cc
@@ -242,6 +242,21 @@
   ExpectGangStarts();
 }
 
+// Fails if a gang whose members charge nothing never starts: what fits on all
+// VMs together overflowed while their number was even (LOST).
+TEST_F(GangReservationTest, GangThatChargesNothingStarts) {
+  for (const bool fills : {true, false}) {
+    SCOPED_TRACE(fills);
+    m_cell = CellHarness();
+    AddVms(kVms);
+    StepSpec gang = Gang(4, {fills ? 1'000 : 0, 0, 0});
+    gang.m_uses_idle_cpu = fills;
+    m_cell.Submit(m_cell.Job(1, {gang}));
+    m_cell.Run(500);
+    EXPECT_EQ(m_cell.RunningOf(1), 4U);
+  }
+}
+
 // Fails if any drawn mix of gangs that the fleet cannot hold keeps a sound job
 // from its tasks, gangs among them.
 RC_GTEST_PROP(GangReservationModelTest, SoundJobsStartBesideGangsThatCannot,
--- a/Source/Core/cell/step_placement.cc
+++ b/Source/Core/cell/step_placement.cc
@@ -19,7 +19,9 @@
 
 std::int64_t StepPlacement::FitIn(const Resources& room,
                                   const Slot& slot) const {
-  const std::int64_t fit = FitCount(m_spec.Charge(), room);
+  // Bounded, so that sums over VMs do not overflow for tasks without needs.
+  const std::int64_t fit =
+      std::min<std::int64_t>(FitCount(m_spec.Charge(), room), kMaxTasksPerStep);
   if (m_spec.m_max_per_vm == 0) {
     return fit;
   }
