--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -220,6 +220,7 @@
   void CarryOver(const RunKey& key, const VmState& from, const VmState& to);
   void NoteDeadlineCall(const VmState& vm, const CellTime& now);
   std::int64_t LongestLeaseMs() const;
+  std::int64_t FormerCallMs() const;
   std::int64_t FirstLeaseMs(const VmState& vm, const CellTime& now);
   bool EarlierOwnersLeaseMayLast(const VmState& vm, const CellTime& now);
   bool FormerCallsLeaseMayLast(const VmState& vm, const CellTime& now) const;
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -181,8 +181,7 @@
     m_state.Vms().erase(life);
   }
   std::erase_if(m_deadline_calls, [&](const auto& call) {
-    return now.m_steady_ms - call.second >
-           kLateCallMs + OnSlowClock(LongestLeaseMs()) + kLeaseExpirySlackMs;
+    return now.m_steady_ms - call.second > FormerCallMs();
   });
 }
 
@@ -190,6 +189,12 @@
   return std::max(kVmLeaseMs, m_bounds.m_max_lease_ms);
 }
 
+// How long after a call that was meant for its former incarnation a VM may hold
+// its runs because of it.
+std::int64_t CellCore::FormerCallMs() const {
+  return kLateCallMs + OnSlowClock(LongestLeaseMs()) + kLeaseExpirySlackMs;
+}
+
 // How long a VM may hold its runs, counted from when it first answers this
 // owner and so refuses the calls of earlier ones. Calls with a deadline on the
 // clock of a former incarnation may have given it the longest lease, if it was
@@ -225,11 +230,9 @@
 bool CellCore::FormerCallsLeaseMayLast(const VmState& vm,
                                        const CellTime& now) const {
   const VmIncarnation& life = vm.Incarnation();
-  const std::int64_t longest =
-      kLateCallMs + OnSlowClock(LongestLeaseMs()) + kLeaseExpirySlackMs;
   return std::any_of(m_deadline_calls.lower_bound({life.m_id, INT64_MIN}),
                      m_deadline_calls.lower_bound(life), [&](const auto& call) {
-                       return now.m_steady_ms - call.second <= longest;
+                       return now.m_steady_ms - call.second <= FormerCallMs();
                      });
 }
 
