--- a/Source/Core/cell/gang_reservation_test.cc
+++ b/Source/Core/cell/gang_reservation_test.cc
@@ -128,7 +128,7 @@
        [&] { change_half_of_fleet([](VmDescription&) {}); }},
       {"the team's cap is lowered",
        [&] {
-         SetCap({7 * 64'000, 0, 0});
+         SetCap({448'000, 0, 0});
        },
        [&] { SetCap({}); }}};
   for (const Form& form : forms) {
@@ -189,7 +189,7 @@
 // Fails if a late gang that the fleet cannot hold reserves its team's cap: the
 // other jobs of the team did not start any more.
 TEST_F(GangReservationTest, GangThatTheFleetCannotHoldKeepsNothingOfTheCap) {
-  SetCap({4 * 64'000, 0, 0});
+  SetCap({256'000, 0, 0});
   AddVms(kVms);
   m_cell.Submit(
       m_cell.Job(2, {CellHarness::Step(1, 1'000)}, m_cell.Queue(), kTeam));
@@ -293,7 +293,7 @@
     cell.Run(1'000);
     RC_ASSERT(cell.RunningOf(job) == count);
     cell.End(job, RunEnd::kDone);
-    cell.Run(*rc::gen::inRange(1, 6) * 1'000);
+    cell.Run(*rc::gen::inRange<std::int64_t>(1, 6) * 1'000);
   }
 }
 
