--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -13,7 +13,7 @@
 // Limits memory use and the duration of a scheduling pass.
 constexpr std::size_t kMaxActiveJobs = 20'000;
 constexpr std::int64_t kRetryWhenFullMs = 1'000;
-// Interval at which expired ended jobs are removed.
+// Interval at which expired ended jobs and old calls are removed.
 constexpr std::int64_t kSweepMs = 5'000;
 // Interval at which unanswered stops are considered for a repetition.
 constexpr std::int64_t kStopCheckMs = 200;
@@ -261,6 +261,7 @@
     m_last_sweep_ms = now.m_steady_ms;
     m_state.DropJobsEndedBefore(now.m_unix_ms - m_bounds.m_retention_ms -
                                 kRetentionSlackMs);
+    ForgetDeadlineCalls(now);
   }
   m_dirty = true;
 }
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -219,6 +219,7 @@
   void EndEarlierIncarnations(const VmState& vm, const CellTime& now);
   void CarryOver(const RunKey& key, const VmState& from, const VmState& to);
   void NoteDeadlineCall(const VmState& vm, const CellTime& now);
+  void ForgetDeadlineCalls(const CellTime& now);
   std::int64_t LongestLeaseMs() const;
   std::int64_t FormerCallMs() const;
   std::int64_t FirstLeaseMs(const VmState& vm, const CellTime& now);
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -180,6 +180,10 @@
   for (const VmIncarnation& life : unused) {
     m_state.Vms().erase(life);
   }
+}
+
+// Drops the calls that FormerCallsLeaseMayLast does not count any more.
+void CellCore::ForgetDeadlineCalls(const CellTime& now) {
   std::erase_if(m_deadline_calls, [&](const auto& call) {
     return now.m_steady_ms - call.second > FormerCallMs();
   });
@@ -249,10 +253,10 @@
 // answered yet, and the lease there may last.
 bool CellCore::MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
                                         const CellTime& now) {
-  if (run.Listed() || !m_state.HasNewerIncarnation(vm.Incarnation())) {
+  const VmState& newest = *m_state.IncarnationsOf(vm.Incarnation().m_id).back();
+  if (run.Listed() || &newest == &vm) {
     return false;
   }
-  const VmState& newest = *m_state.IncarnationsOf(vm.Incarnation().m_id).back();
   const bool of_earlier_owner = run.m_start_sent_ms == 0;
   return FormerCallsLeaseMayLast(newest, now) ||
          (of_earlier_owner && EarlierOwnersLeaseMayLast(newest, now));
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -105,10 +105,6 @@
   return listed;
 }
 
-bool CellState::HasNewerIncarnation(const VmIncarnation& life) {
-  return IncarnationsOf(life.m_id).back()->Incarnation().m_born > life.m_born;
-}
-
 Usage CellState::TeamUsage(const std::string& team) const {
   const auto found = m_team_usage.find(team);
   return found == m_team_usage.end() ? Usage{} : found->second;
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -47,8 +47,6 @@
   std::vector<VmState*> IncarnationsOf(const std::string& id);
   // The listed incarnation of the VM, or null.
   VmState* FindListedVm(const std::string& id);
-  // True if an incarnation of the VM is known that began after `life`.
-  bool HasNewerIncarnation(const VmIncarnation& life);
 
   // Resources of all open runs of the team, including runs that may have ended
   // or may not have started.
--- a/Source/Core/cell/gang_wait.h
+++ b/Source/Core/cell/gang_wait.h
@@ -14,7 +14,7 @@
   kTeamLimit,       // The team's cap has no room for all members.
   kOtherGangs,      // Others have the reservations, and no call is free.
   kAdviceCall,      // An advice call is pending or would be too early.
-  kRecommendation,  // The recommended VMs could not hold it when empty.
+  kRecommendation,  // The recommended VMs alone are too few or too small.
   kRoom,            // The recommended VMs have too little free capacity.
   kTicket,          // They have the capacity, but no valid tickets.
   kTooLarge,        // The usable VMs could not hold it if only services ran.
