Preemption: less urgent tasks with a checkpoint make room for gangs

Cause: on a fleet that is short of room, gangs starve. Independent tasks take each piece of room as it becomes free, the room that gangs kept idle while they waited was a sixth of the fleet, and requests for advice named the few VMs that had room at that moment, so that all daemons called the service all the time.

Only two gangs keep room idle then, as before in small pools.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -16,8 +16,14 @@
 constexpr std::size_t kMaxVmsPerAdviceCall = 100;
 // Limits the work of choosing the VMs of one call.
 constexpr std::size_t kMaxVmsConsidered = 128;
+// The same for a gang for which room may be made, of which each VM may become
+// part.
+constexpr std::size_t kMaxVmsAheadOfRoom = 512;
 // Number of VMs that an advice call for a gang usually names.
 constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
+// How many times over the recommended VMs should hold a gang for which room may
+// be made. A wide choice makes room where the least work is stopped.
+constexpr double kChoiceSurplus = 4;
 
 // A different start in the pool for each job, so that jobs do not all ask about
 // the same VMs.
@@ -81,6 +87,45 @@
   return vms;
 }
 
+// VMs without a verdict that hold members of the gang once their runs have
+// ended, those with the most free capacity first, until `wanted` members fit on
+// them and on those that hold `expected` already.
+std::vector<std::string> UnknownVmsInTime(const StepPlacement& step,
+                                          PoolCapacity& pool, double wanted,
+                                          double expected, double good_share) {
+  std::vector<std::string> vms;
+  if (expected >= wanted) {
+    return vms;
+  }
+  std::vector<SlotFit> fits;
+  const std::size_t count = pool.Slots().size();
+  const std::size_t first = FirstSlot(step, pool);
+  for (std::size_t i = 0; i < count && fits.size() < kMaxVmsAheadOfRoom; ++i) {
+    Slot& slot = pool.Slots()[(first + i) % count];
+    const std::int64_t fit =
+        step.HasRequiredLabel(slot) && step.AdviceFor(slot) == nullptr
+            ? step.FitInTime(slot)
+            : 0;
+    if (fit > 0) {
+      fits.push_back({&slot, fit});
+    }
+  }
+  std::stable_sort(
+      fits.begin(), fits.end(), [](const SlotFit& a, const SlotFit& b) {
+        return a.m_slot->m_free.m_cpu_millis > b.m_slot->m_free.m_cpu_millis;
+      });
+  for (const auto& [slot, fit] : fits) {
+    const bool enough =
+        expected >= wanted && vms.size() >= kTypicalVmsPerAdviceCall;
+    if (enough || vms.size() >= kMaxVmsPerAdviceCall) {
+      break;
+    }
+    expected += static_cast<double>(fit) * good_share;
+    vms.push_back(slot->VmId());
+  }
+  return vms;
+}
+
 }  // namespace
 
 std::int64_t AdviceCallMs(const QueueRules& queue, std::size_t vms) {
@@ -182,4 +227,26 @@
   return vms;
 }
 
+std::vector<std::string> ChooseVmsAheadOfRoom(const StepPlacement& step,
+                                              PoolCapacity& pool,
+                                              std::int64_t tasks,
+                                              double good_share) {
+  std::int64_t recommended_fit = 0;
+  step.VisitRecommended(pool, [&](const Slot& slot) {
+    if (step.HasRequiredLabel(slot)) {
+      recommended_fit += std::min(step.FitInTime(slot), tasks);
+    }
+  });
+  std::vector<std::string> vms =
+      UnknownVmsInTime(step, pool, static_cast<double>(tasks) * kChoiceSurplus,
+                       static_cast<double>(recommended_fit), good_share);
+  const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
+  if (TotalFit(recommended) >= tasks) {
+    const std::vector<std::string> expiring = VmsWithExpiringTickets(
+        step, recommended, tasks, kMaxVmsPerAdviceCall - vms.size());
+    vms.insert(vms.end(), expiring.begin(), expiring.end());
+  }
+  return vms;
+}
+
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -330,6 +330,9 @@
       m_state, m_ready, m_rules, now, free_advice_calls, max_start_bytes);
   m_counters.m_vms_examined += result.m_vms_examined;
   m_dirty = result.m_more_to_start;
+  for (const RunKey& key : result.m_preemptions) {
+    Preempt(key, now);
+  }
   for (Placement& placement : result.m_placements) {
     Append(RunPlanned{placement.m_task, placement.m_run, placement.m_vm});
     NoteStart(placement, now);
@@ -346,11 +349,23 @@
     return;
   }
   ScheduleResult result =
-      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls);
+      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls,
+                         kUnlimitedStartBytes, PassKind::kAdviceOnly);
   m_counters.m_vms_examined += result.m_vms_examined;
   ReleaseUnlogged(std::move(result));
 }
 
+// The run continues from its checkpoint when its step has its turn again.
+void CellCore::Preempt(const RunKey& key, const CellTime& now) {
+  OpenRun* run = m_state.FindRun(key.first, key.second);
+  if (run == nullptr || run->m_phase != RunPhase::kRunning) {
+    return;
+  }
+  ++m_counters.m_preemptions;
+  ++m_state.FindTask(key.first)->m_preemptions;
+  SendStop(key.first, *run, StopReason::kPreempted, now);
+}
+
 // Releases the effects of a pass that depend on no record.
 void CellCore::ReleaseUnlogged(ScheduleResult result) {
   for (GangDelay& delay : result.m_gang_delays) {
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -45,6 +45,8 @@
   // Runs whose VM turned out to be a newer incarnation before it listed them.
   std::uint64_t m_carried_over = 0;
   std::map<RunEnd, std::uint64_t> m_ends;
+  // Runs stopped for a more urgent gang.
+  std::uint64_t m_preemptions = 0;
   std::uint64_t m_asks = 0;
   std::uint64_t m_passes = 0;
   // VMs that scheduling passes looked at, each time counted.
@@ -53,7 +55,8 @@
 
 class CellCore {
  public:
-  explicit CellCore(CellBounds bounds) : m_bounds(bounds) {}
+  explicit CellCore(CellBounds bounds, SchedulingOptions scheduling = {})
+      : m_bounds(bounds), m_scheduler(scheduling) {}
 
   // --- Recovery: Replay each record in order, then call OnRecovered once ---
   void Replay(const LogRecord& record) { m_state.Apply(record); }
@@ -245,6 +248,7 @@
   void ReleaseDueOccurrences(const CellTime& now);
   void RepeatStops(const CellTime& now);
   void OnJobsChanged();
+  void Preempt(const RunKey& key, const CellTime& now);
   void ReleaseUnlogged(ScheduleResult result);
 
   CellBounds m_bounds;
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -78,6 +78,7 @@
   set("starts", static_cast<double>(counters.m_starts));
   set("starts_not_begun", static_cast<double>(counters.m_not_begun));
   set("runs_carried_over", static_cast<double>(counters.m_carried_over));
+  set("runs_preempted", static_cast<double>(counters.m_preemptions));
   set("advice_calls", static_cast<double>(counters.m_asks));
   set("scheduling_passes", static_cast<double>(counters.m_passes));
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -101,6 +101,7 @@
   kGangBroken,  // Another member ended without success or is being moved.
   kUnknownRun,  // The VM lists a run that the cell does not know.
   kMove,        // The VM is slow or stalled and another has capacity.
+  kPreempted,   // A more urgent gang needs the capacity.
   // The run was planned on an earlier incarnation of the VM, and its start may
   // still arrive.
   kEarlierIncarnation,
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -142,6 +142,9 @@
     case StopReason::kMove:
       event = "run_moves_away";
       break;
+    case StopReason::kPreempted:
+      event = "run_preempted";
+      break;
     case StopReason::kEarlierIncarnation:
       event = "late_start_blocked";
       break;
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -99,6 +99,8 @@
   // Volatile: runs stopped in order to continue on another VM. Gangs count it
   // in their first member only.
   std::uint32_t m_moves = 0;
+  // Volatile: runs stopped for a more urgent gang.
+  std::uint32_t m_preemptions = 0;
 
   bool operator==(const TaskState&) const = default;
 };
@@ -125,6 +127,23 @@
   bool operator==(const ReadyOrder&) const = default;
 };
 
+// Capacity kept for a gang while its tickets are requested and the VMs' runs
+// are stopped.
+struct GangReservation {
+  struct Vm {
+    std::string m_id;
+    std::int64_t m_members = 0;
+
+    bool operator==(const Vm&) const = default;
+  };
+
+  std::vector<Vm> m_vms;
+  // Owner's steady clock.
+  std::int64_t m_until_ms = 0;
+
+  bool operator==(const GangReservation&) const = default;
+};
+
 struct StepState {
   std::vector<TaskState> m_tasks;
   std::uint32_t m_done = 0;
@@ -150,6 +169,8 @@
   // Volatile, gangs only: when it is checked again whether the team's cap and
   // the VMs could hold the gang; 0 if they could (owner's steady clock).
   std::int64_t m_next_size_check_ms = 0;
+  // Volatile, gangs only: VMs on which room is being made.
+  GangReservation m_reservation;
   // Volatile: latest end of a ticket in m_advice, on the owner's steady clock.
   std::int64_t m_tickets_until_ms = 0;
   // Volatile: set while the step is in ReadySteps, which maintains it.
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -17,6 +17,7 @@
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
 #include "cell/ready_steps.h"
+#include "cell/scheduling_options.h"
 
 namespace mustardslip {
 
@@ -36,6 +37,8 @@
 struct ScheduleResult {
   std::vector<Placement> m_placements;
   std::vector<AdviceRequest> m_advice_requests;
+  // Runs to stop for gangs with a reservation.
+  std::vector<RunKey> m_preemptions;
   // Gangs that start after a long wait or still wait.
   std::vector<GangDelay> m_gang_delays;
   // VMs that the pass looked at, each time counted: its work.
@@ -44,21 +47,36 @@
   bool m_more_to_start = false;
 };
 
+enum class PassKind : std::uint8_t {
+  kPlan,        // The starts and stops of the result will be carried out.
+  kAdviceOnly,  // Only its requests for advice will.
+};
+
 class Scheduler {
  public:
+  explicit Scheduler(SchedulingOptions options = {}) : m_options(options) {}
+
+  const SchedulingOptions& Options() const { return m_options; }
+
   // Returns at most `free_advice_calls` advice requests, and starts of about
   // `max_start_bytes` together. Records the requested VMs in the state.
   ScheduleResult Decide(CellState& state, const ReadySteps& ready,
                         const CellRules& rules, const CellTime& now,
                         std::size_t free_advice_calls,
-                        std::int64_t max_start_bytes = kUnlimitedStartBytes);
+                        std::int64_t max_start_bytes = kUnlimitedStartBytes,
+                        PassKind kind = PassKind::kPlan);
 
   // Updates the moving average of the share of VMs recommended for the queue.
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
   // That share: more than 0, at most 1.
   double GoodShare(const std::string& queue) const;
 
+  // The gangs with a reservation, in the order in which they made it.
+  std::vector<StepRef>& ReservingGangs() { return m_reserving_gangs; }
+
  private:
+  const SchedulingOptions m_options;
+  std::vector<StepRef> m_reserving_gangs;
   std::map<std::string, double> m_good_share;
 };
 
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -1,5 +1,6 @@
 // SchedulingPass: set-up, order, independent tasks, suspects of crashes, and
-// requests for advice. Gangs are in scheduling_pass_gangs.cc.
+// requests for advice. Gangs are in scheduling_pass_gangs.cc and
+// scheduling_pass_preemption.cc.
 #include "cell/scheduling_pass.h"
 
 #include <algorithm>
@@ -16,7 +17,8 @@
 constexpr std::int64_t kAdviceIntervalMs = 60;
 // Limit on gangs that reserve free capacity against later steps in the order:
 // one per kVmsPerGang VMs, at least kMinReservingGangs. More would leave VMs
-// idle behind gangs that wait for each other.
+// idle behind gangs that wait for each other. With preemption, room is made for
+// gangs instead of kept idle, and kMinReservingGangs is enough.
 constexpr int kMinReservingGangs = 2;
 constexpr int kVmsPerGang = 24;
 // At most one in this many VMs is kept for suspects at a time.
@@ -29,15 +31,16 @@
 
 }  // namespace
 
-SchedulingPass::SchedulingPass(const Scheduler& scheduler, CellState& state,
+SchedulingPass::SchedulingPass(Scheduler& scheduler, CellState& state,
                                const CellRules& rules, const CellTime& now,
                                std::size_t free_advice_calls,
-                               std::int64_t max_start_bytes)
+                               std::int64_t max_start_bytes, PassKind kind)
     : m_scheduler(scheduler),
       m_state(state),
       m_rules(rules),
       m_now(now),
       m_free_advice_calls(free_advice_calls),
+      m_kind(kind),
       m_start_bytes_left(max_start_bytes) {
   for (auto& [life, vm] : m_state.Vms()) {
     if (!IsUsable(vm, now.m_steady_ms)) {
@@ -56,9 +59,12 @@
   });
   for (auto& [service, pool] : m_pools) {
     pool.m_capacity.Finish(now.m_steady_ms);
-    pool.m_max_reserving_gangs = std::max(
-        kMinReservingGangs,
-        static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
+    pool.m_max_reserving_gangs = kMinReservingGangs;
+    if (!Preempts()) {
+      pool.m_max_reserving_gangs = std::max(
+          kMinReservingGangs,
+          static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
+    }
     for (const Slot& slot : pool.m_capacity.Slots()) {
       pool.m_total_cpu_millis +=
           slot.m_vm->m_description.m_capacity.m_cpu_millis;
@@ -67,6 +73,7 @@
 }
 
 ScheduleResult SchedulingPass::Run(const ReadySteps& ready) {
+  ServeReservations();
   PlaceOverdueGangs(ready);
   ready.Visit(m_now.m_unix_ms, [this](const ReadyStep& step) {
     const auto pool = m_pools.find(step.m_job->m_spec.m_queue.m_service);
@@ -74,7 +81,7 @@
       return true;
     }
     if (step.Spec().m_gang) {
-      if (m_overdue_gangs.count(step.m_state) == 0) {
+      if (m_served_gangs.count(step.m_state) == 0) {
         PlaceGang(step, pool->second, false);
       }
     } else {
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -11,18 +11,20 @@
 #include <vector>
 
 #include "cell/pool_capacity.h"
+#include "cell/preemption.h"
 #include "cell/scheduler.h"
 #include "cell/step_placement.h"
 
 namespace mustardslip {
 
-// Used once. The order of the steps is that of ReadySteps, but for large gangs
-// that are overdue, which go first (PlaceOverdueGangs).
+// Used once. The order of the steps is that of ReadySteps, but for gangs with a
+// reservation (ServeReservations) and large gangs that are overdue
+// (PlaceOverdueGangs), which go first.
 class SchedulingPass {
  public:
-  SchedulingPass(const Scheduler& scheduler, CellState& state,
-                 const CellRules& rules, const CellTime& now,
-                 std::size_t free_advice_calls, std::int64_t max_start_bytes);
+  SchedulingPass(Scheduler& scheduler, CellState& state, const CellRules& rules,
+                 const CellTime& now, std::size_t free_advice_calls,
+                 std::int64_t max_start_bytes, PassKind kind);
   ScheduleResult Run(const ReadySteps& ready);
 
  private:
@@ -37,6 +39,8 @@
     // their share of the pool.
     std::int64_t m_overdue_cpu_millis = 0;
     bool m_overdue_share_used = false;
+    // Need of the gangs with a reservation.
+    std::int64_t m_reserved_cpu_millis = 0;
   };
 
   static Resources Unlimited(const Resources& cap);
@@ -116,19 +120,39 @@
   static void ReserveForGang(const StepPlacement& step, Pool& pool,
                              std::int64_t tasks);
 
-  const Scheduler& m_scheduler;
+  // --- Room for gangs by preemption ---
+  bool Preempts() const { return m_scheduler.Options().m_preemption; }
+  void ServeReservations();
+  bool ServeReservation(const StepRef& ref);
+  bool MayPreemptFor(const ReadyStep& ready, const Pool& pool) const;
+  bool ReserveByPreemption(StepPlacement& step, Pool& pool, std::int64_t tasks);
+  std::vector<GangReservation::Vm> ChooseVmsToReserve(const StepPlacement& step,
+                                                      Pool& pool,
+                                                      std::int64_t tasks);
+  std::vector<std::string> VmsWithoutTicket(const StepPlacement& step,
+                                            Pool& pool,
+                                            std::int64_t margin_ms) const;
+  void StopRunsFor(const StepPlacement& step, Pool& pool);
+  static void KeepReservation(const StepPlacement& step, Pool& pool);
+  const std::vector<PreemptibleRun>& PreemptibleRunsOn(const VmState& vm);
+
+  Scheduler& m_scheduler;
   CellState& m_state;
   const CellRules& m_rules;
   const CellTime m_now;
   const std::size_t m_free_advice_calls;
+  const PassKind m_kind;
   std::int64_t m_start_bytes_left;
   // By service.
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Resources> m_team_planned;
   // VMs on which this pass plans a start.
   std::set<const VmState*> m_planned_vms;
-  // The steps that PlaceOverdueGangs served.
-  std::set<const StepState*> m_overdue_gangs;
+  // The gangs that had their turn before the others.
+  std::set<const StepState*> m_served_gangs;
+  // By VM, computed when first needed.
+  std::map<const VmState*, std::vector<PreemptibleRun>> m_preemptible;
+  std::set<RunKey> m_preempted;
   ScheduleResult m_result;
 };
 
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -69,10 +69,11 @@
                    });
   for (const ReadyStep& step : overdue) {
     Pool& pool = m_pools.at(step.m_job->m_spec.m_queue.m_service);
-    if (pool.m_overdue_share_used || WhyTooLarge(step, pool.m_capacity)) {
+    if (pool.m_overdue_share_used || m_served_gangs.count(step.m_state) != 0 ||
+        WhyTooLarge(step, pool.m_capacity)) {
       continue;
     }
-    m_overdue_gangs.insert(step.m_state);
+    m_served_gangs.insert(step.m_state);
     PlaceGang(step, pool, true);
     CountOverdue(step, pool);
   }
@@ -198,9 +199,12 @@
     return;
   }
   NoteWait(step, WaitCauseOf(step, room, tasks), room);
+  if (MayPreemptFor(ready, pool) && ReserveByPreemption(step, pool, tasks)) {
+    return;
+  }
   if (may_ask) {
-    RequestAdvice(
-        step, ChooseVmsForGang(step, pool.m_capacity, tasks, GoodShare(step)));
+    const auto choose = Preempts() ? ChooseVmsAheadOfRoom : ChooseVmsForGang;
+    RequestAdvice(step, choose(step, pool.m_capacity, tasks, GoodShare(step)));
   }
   if (may_reserve) {
     ReserveForGang(step, pool, tasks);
--- /dev/null
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -0,0 +1,215 @@
+// SchedulingPass: gangs for which less urgent tasks are stopped.
+//
+// A reservation names the VMs of a gang. While the tickets for them are being
+// requested it keeps the room that is free there, and the runs there go on;
+// they are stopped once the tickets are valid, so that little time passes in
+// which the room is idle.
+#include <algorithm>
+#include <utility>
+
+#include "cell/advice_plan.h"
+#include "cell/scheduling_pass.h"
+
+namespace mustardslip {
+namespace {
+
+// Gangs with a reservation take at most this share of a pool.
+constexpr std::int64_t kMaxReservedPercent = 40;
+// Tickets must stay valid for this long when runs are stopped: the stops, their
+// report and the start.
+constexpr std::int64_t kStopAndStartMs = 700;
+// The same once runs were stopped: the start alone.
+constexpr std::int64_t kStartMs = 300;
+// How long the answer to a request for tickets may take beyond what is
+// expected, before the reservation is given up.
+constexpr std::int64_t kLateAdviceMs = 400;
+
+}  // namespace
+
+// Gangs with a reservation go before all others: room has been made for them.
+void SchedulingPass::ServeReservations() {
+  std::erase_if(m_scheduler.ReservingGangs(),
+                [this](const StepRef& ref) { return !ServeReservation(ref); });
+}
+
+// Returns false if the reservation is over.
+bool SchedulingPass::ServeReservation(const StepRef& ref) {
+  Job* job = m_state.FindJob(ref.m_job);
+  StepState* state =
+      m_state.FindStep({ref.m_job, ref.m_occurrence, ref.m_step, 0});
+  if (job == nullptr || state == nullptr) {
+    return false;
+  }
+  const auto pool = m_pools.find(job->m_spec.m_queue.m_service);
+  const bool expired = state->m_reservation.m_until_ms < m_now.m_steady_ms;
+  if (!state->m_ready_order || state->m_open > 0 || expired ||
+      pool == m_pools.end()) {
+    state->m_reservation = {};
+    return false;
+  }
+  const ReadyStep ready{job, state, ref.m_occurrence, ref.m_step};
+  StepPlacement step(ready, m_now.m_steady_ms);
+  const std::int64_t tasks = TaskCount(ready);
+  if (m_kind == PassKind::kPlan) {
+    if (step.MayHaveTickets() && TeamHeadroom(ready) >= tasks &&
+        StartGang(step, pool->second, tasks)) {
+      NoteStart(step, {});
+      m_served_gangs.insert(state);
+      state->m_reservation = {};
+      return false;
+    }
+    if (state->m_pending_advice_vms.empty()) {
+      if (!VmsWithoutTicket(step, pool->second, kStartMs).empty()) {
+        state->m_reservation = {};
+        return false;
+      }
+      StopRunsFor(step, pool->second);
+    }
+  }
+  m_served_gangs.insert(state);
+  KeepReservation(step, pool->second);
+  return true;
+}
+
+// Only for a gang that can still meet its objective and whose team is within
+// its rate: the tasks that it stops end later for it.
+bool SchedulingPass::MayPreemptFor(const ReadyStep& ready,
+                                   const Pool& pool) const {
+  const std::int64_t reserved =
+      pool.m_reserved_cpu_millis + NeededCpuMillis(ready);
+  return Preempts() && !ready.m_job->m_over_rate &&
+         LatestStart(ready) > m_now.m_unix_ms &&
+         reserved * 100 <= pool.m_total_cpu_millis * kMaxReservedPercent;
+}
+
+// Returns false if stopping runs would not make room for the whole gang, or
+// its tickets cannot be requested now.
+bool SchedulingPass::ReserveByPreemption(StepPlacement& step, Pool& pool,
+                                         std::int64_t tasks) {
+  StepState& state = step.State();
+  if (!state.m_pending_advice_vms.empty()) {
+    return false;
+  }
+  std::vector<GangReservation::Vm> vms = ChooseVmsToReserve(step, pool, tasks);
+  if (vms.empty()) {
+    return false;
+  }
+  state.m_reservation.m_vms = std::move(vms);
+  const std::vector<std::string> missing =
+      VmsWithoutTicket(step, pool, kStopAndStartMs);
+  if (!missing.empty() && !MayRequestAdvice(state)) {
+    state.m_reservation = {};
+    return false;
+  }
+  if (missing.empty()) {
+    StopRunsFor(step, pool);
+  } else {
+    state.m_reservation.m_until_ms =
+        m_now.m_steady_ms + AdviceCallMs(step.Queue(), missing.size()) +
+        kLateAdviceMs;
+    RequestAdvice(step, missing);
+  }
+  KeepReservation(step, pool);
+  m_scheduler.ReservingGangs().push_back(step.Step().Ref());
+  return true;
+}
+
+// The recommended VMs that hold the gang once less urgent runs have been
+// stopped there, those with the most free room first. Empty if they do not.
+std::vector<GangReservation::Vm> SchedulingPass::ChooseVmsToReserve(
+    const StepPlacement& step, Pool& pool, std::int64_t tasks) {
+  struct Candidate {
+    const Slot* m_slot = nullptr;
+    std::int64_t m_fit = 0;
+    std::int64_t m_fit_after_stops = 0;
+  };
+  std::vector<Candidate> candidates;
+  const std::int64_t priority = step.Queue().m_priority;
+  VisitAllowed(step, pool.m_capacity, [&](const Slot& slot) {
+    Slot emptied = slot;
+    emptied.m_free = slot.m_free + PreemptibleCapacity(
+                                       PreemptibleRunsOn(*slot.m_vm), priority);
+    const std::int64_t fit_after_stops = step.Fit(emptied);
+    if (fit_after_stops > 0) {
+      candidates.push_back({&slot, step.Fit(slot), fit_after_stops});
+    }
+  });
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return std::pair(a.m_fit, a.m_fit_after_stops) >
+                            std::pair(b.m_fit, b.m_fit_after_stops);
+                   });
+  std::vector<GangReservation::Vm> chosen;
+  std::int64_t left = tasks;
+  for (const Candidate& candidate : candidates) {
+    if (left == 0) {
+      break;
+    }
+    const std::int64_t members = std::min(candidate.m_fit_after_stops, left);
+    chosen.push_back({candidate.m_slot->VmId(), members});
+    left -= members;
+  }
+  return left == 0 ? chosen : std::vector<GangReservation::Vm>{};
+}
+
+// The VMs of the reservation on which the gang cannot start `margin_ms` from
+// now, those that are not usable any more included.
+std::vector<std::string> SchedulingPass::VmsWithoutTicket(
+    const StepPlacement& step, Pool& pool, std::int64_t margin_ms) const {
+  std::vector<std::string> missing;
+  for (const GangReservation::Vm& vm : step.State().m_reservation.m_vms) {
+    const Slot* slot = pool.m_capacity.Find(vm.m_id);
+    if (slot == nullptr || !step.HasTicket(*slot, margin_ms)) {
+      missing.push_back(vm.m_id);
+    }
+  }
+  return missing;
+}
+
+// Stops what is in the way on the reserved VMs, beyond what is ending there
+// already. The reservation then lasts as long as the tickets.
+void SchedulingPass::StopRunsFor(const StepPlacement& step, Pool& pool) {
+  GangReservation& reservation = step.State().m_reservation;
+  reservation.m_until_ms = step.NeedsAdvice()
+                               ? step.State().m_tickets_until_ms
+                               : m_now.m_steady_ms + kStopAndStartMs;
+  for (const GangReservation::Vm& vm : reservation.m_vms) {
+    const Slot* slot = pool.m_capacity.Find(vm.m_id);
+    if (slot == nullptr || m_kind == PassKind::kAdviceOnly) {
+      continue;
+    }
+    const Resources room =
+        slot->m_free +
+        CapacityBeingFreed(*slot->m_vm, m_state, m_now.m_steady_ms);
+    for (const PreemptibleRun& run : ChooseRunsToStop(
+             PreemptibleRunsOn(*slot->m_vm), step.Queue().m_priority, room,
+             step.Spec().Charge() * vm.m_members)) {
+      if (m_preempted.insert(run.m_run).second) {
+        m_result.m_preemptions.push_back(run.m_run);
+      }
+    }
+  }
+}
+
+// Keeps the reserved room, as far as it is free, from the steps that follow.
+void SchedulingPass::KeepReservation(const StepPlacement& step, Pool& pool) {
+  const Resources charge = step.Spec().Charge();
+  for (const GangReservation::Vm& vm : step.State().m_reservation.m_vms) {
+    pool.m_reserved_cpu_millis += charge.m_cpu_millis * vm.m_members;
+    Slot* slot = pool.m_capacity.Find(vm.m_id);
+    if (slot != nullptr) {
+      pool.m_capacity.Reserve(*slot, Min(charge * vm.m_members, slot->m_free));
+    }
+  }
+}
+
+const std::vector<PreemptibleRun>& SchedulingPass::PreemptibleRunsOn(
+    const VmState& vm) {
+  const auto [found, created] = m_preemptible.try_emplace(&vm);
+  if (created) {
+    found->second = PreemptibleRuns(vm, m_state);
+  }
+  return found->second;
+}
+
+}  // namespace mustardslip
