Speed of VMs: estimate, learning and placement

Cause: VMs of one service run at 0.55 to 1.25 of a common speed, and a gang ends with its slowest member, but placement took all VMs to be alike.

VmSpeeds estimates each VM's speed from the time of its runs: the logarithms of the times of a step are compared between its VMs, corrected for the speeds known so far, and with the declared time, corrected by the queue's mean error. Runs with progress reports count once a fifth of the work is done, others when they end. Gangs, long-lived tasks, tasks on idle processors and runs on a VM that vm_pace calls slow are left out.

Placement (speed_choice.h) prefers faster classes of 15 % each, keeps the slow VMs out of a gang while the others hold it, names fast VMs first in advice requests, and gives slow VMs to steps with slack while fast ones are scarce.

Nothing was measured yet.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -2,8 +2,11 @@
 #include "cell/advice_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
+#include "cell/speed_choice.h"
+
 namespace mustardslip {
 namespace {
 
@@ -65,8 +68,10 @@
     }
     return true;
   });
-  SortLargestFirst(fits);
   const double wanted = static_cast<double>(tasks) * kGangAdviceSurplus;
+  KeepFastest(static_cast<std::int64_t>(std::ceil(wanted / good_share)), fits);
+  SortLargestFirst(fits);
+  MoveSlowLast(fits);
   double expected = 0;
   std::vector<std::string> vms;
   for (const auto& [slot, fit] : fits) {
@@ -132,13 +137,20 @@
     vms.push_back(slot.VmId());
   };
   // VMs already recommended come first: only their ticket is missing.
+  std::vector<SlotFit> without_ticket;
   step.VisitRecommended(pool, [&](Slot& slot) {
     const std::int64_t fit = step.Fit(slot);
-    if (!enough() && fit > 0 && !step.HasTicket(slot) &&
-        step.HasRequiredLabel(slot)) {
-      add(slot, fit, 1.0);
+    if (fit > 0 && !step.HasTicket(slot) && step.HasRequiredLabel(slot)) {
+      without_ticket.push_back({&slot, fit});
     }
   });
+  SortByWantedSpeed(step.WantedSpeed(), without_ticket);
+  for (const auto& [slot, fit] : without_ticket) {
+    if (enough()) {
+      break;
+    }
+    add(*slot, fit, 1.0);
+  }
   std::vector<SlotFit> unknown;
   pool.VisitFitting(step.Spec().Charge(), FirstSlot(step, pool),
                     [&](Slot& slot) {
@@ -154,6 +166,7 @@
       unknown.begin(), unknown.end(), [](const SlotFit& a, const SlotFit& b) {
         return a.m_slot->m_free.m_cpu_millis < b.m_slot->m_free.m_cpu_millis;
       });
+  SortByWantedSpeed(step.WantedSpeed(), unknown);
   for (const auto& [slot, fit] : unknown) {
     if (enough()) {
       break;
@@ -167,7 +180,7 @@
                                           PoolCapacity& pool,
                                           std::int64_t tasks,
                                           double good_share) {
-  const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
+  std::vector<SlotFit> recommended = RecommendedFits(step, pool);
   const std::int64_t missing = tasks - TotalFit(recommended);
   std::vector<std::string> vms;
   if (missing > 0) {
@@ -176,6 +189,9 @@
       return vms;
     }
   }
+  KeepFastest(static_cast<std::int64_t>(
+                  std::ceil(static_cast<double>(tasks) * kAdviceSurplus)),
+              recommended);
   std::vector<std::string> expiring = VmsWithExpiringTickets(
       step, recommended, tasks, kMaxVmsPerAdviceCall - vms.size());
   vms.insert(vms.end(), expiring.begin(), expiring.end());
--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -253,6 +253,7 @@
 void CellCore::OnTick(const CellTime& now) {
   ExpireVmLeases(now);
   ReleaseDueOccurrences(now);
+  RefreshSpeeds(now);
   if (now.m_steady_ms >= m_next_stop_check_ms) {
     m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
     RepeatStops(now);
@@ -326,8 +327,9 @@
   }
   m_dirty = false;
   ++m_counters.m_passes;
-  ScheduleResult result = m_scheduler.Decide(
-      m_state, m_ready, m_rules, now, free_advice_calls, max_start_bytes);
+  ScheduleResult result =
+      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls,
+                         max_start_bytes, PlacementSpeeds());
   m_counters.m_vms_examined += result.m_vms_examined;
   m_dirty = result.m_more_to_start;
   for (Placement& placement : result.m_placements) {
@@ -346,7 +348,8 @@
     return;
   }
   ScheduleResult result =
-      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls);
+      m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls,
+                         kUnlimitedStartBytes, PlacementSpeeds());
   m_counters.m_vms_examined += result.m_vms_examined;
   ReleaseUnlogged(std::move(result));
 }
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -20,6 +20,7 @@
 #include "cell/cell_types.h"
 #include "cell/scheduler.h"
 #include "cell/team_rate.h"
+#include "cell/vm_speed.h"
 
 namespace mustardslip {
 
@@ -53,7 +54,8 @@
 
 class CellCore {
  public:
-  explicit CellCore(CellBounds bounds) : m_bounds(bounds) {}
+  explicit CellCore(CellBounds bounds, CellFeatures features = {})
+      : m_bounds(bounds), m_features(features) {}
 
   // --- Recovery: Replay each record in order, then call OnRecovered once ---
   void Replay(const LogRecord& record) { m_state.Apply(record); }
@@ -137,6 +139,7 @@
   // Version of the configuration in force; 0 before the first one.
   std::int64_t RulesVersion() const { return m_rules.m_version; }
   const ReadySteps& Ready() const { return m_ready; }
+  const VmSpeeds& Speeds() const { return m_speeds; }
 
  private:
   // The following structs are effects that wait until their batch is durable.
@@ -205,6 +208,14 @@
                 const CellTime& now);
   void HandleVmPace(VmState& vm, const CellTime& now);
   void MoveRun(const VmState& vm, const RunKey& key, const CellTime& now);
+  const VmSpeeds* PlacementSpeeds() const {
+    return m_features.m_place_by_speed ? &m_speeds : nullptr;
+  }
+  void LearnFromEnds(const VmState& vm, const VmReport& report,
+                     const CellTime& now);
+  void LearnFromProgress(const VmState& vm, const VmReport& report,
+                         const CellTime& now);
+  void RefreshSpeeds(const CellTime& now);
   bool HasCapacityElsewhere(const VmState& vm, const Job& job,
                             const StepSpec& spec, const StepState& step,
                             std::int64_t now_ms) const;
@@ -248,6 +259,7 @@
   void ReleaseUnlogged(ScheduleResult result);
 
   CellBounds m_bounds;
+  const CellFeatures m_features;
   CellState m_state;
   CellRules m_rules;
   // False until the first rules that are no older than those in the log.
@@ -258,6 +270,8 @@
   // Positions in m_rules.m_queues, by name.
   std::unordered_map<std::string, std::size_t> m_queue_index;
   Scheduler m_scheduler;
+  VmSpeeds m_speeds;
+  std::int64_t m_next_speed_refresh_ms = 0;
   TeamRateLimiter m_team_rate_limiter;
   ReadySteps m_ready;
   // When the next occurrence of each scheduled job is due, in Unix
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -54,6 +54,9 @@
     vm->m_lease_until_vm_ms = std::max(vm->m_lease_until_vm_ms,
                                        report.m_vm_ms + FirstLeaseMs(*vm, now));
   }
+  if (vm->m_fenced && vm->m_first_failed_call_ms == 0) {
+    LearnFromEnds(*vm, report, now);
+  }
   vm->m_fenced = true;
   vm->m_poll_due_ms = 0;
   vm->m_first_failed_call_ms = 0;
@@ -64,6 +67,7 @@
   ProcessReportedRuns(*vm, report);
   CloseUnlistedRuns(*vm, report, now);
   HandleVmPace(*vm, now);
+  LearnFromProgress(*vm, report, now);
 }
 
 void CellCore::ProcessReportedEnds(VmState& vm, const VmReport& report,
@@ -259,6 +263,7 @@
       if (run->m_phase == RunPhase::kPlanned && run->m_vm == answer.m_vm) {
         run->m_phase = RunPhase::kRunning;
         run->m_listed_after_vm_ms = answer.m_vm_ms;
+        run->m_started_vm_ms = answer.m_vm_ms;
       }
       ConfirmRun(answer.m_task);
       return;
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -64,7 +64,9 @@
  public:
   static constexpr const char* kService = "svc";
 
-  CellHarness() : m_core(std::make_unique<CellCore>(CellBounds{})) {
+  explicit CellHarness(CellFeatures features = {})
+      : m_features(features),
+        m_core(std::make_unique<CellCore>(CellBounds{}, features)) {
     m_core->OnRules(m_rules, Now());
     m_core->OnRecovered(Now());
   }
@@ -306,7 +308,7 @@
   // Replaces the core by a new owner that recovers from the stored log.
   void TakeOver() {
     ++m_owner_fence;
-    m_core = std::make_unique<CellCore>(CellBounds{});
+    m_core = std::make_unique<CellCore>(CellBounds{}, m_features);
     m_core->OnRules(m_rules, Now());
     Recover();
   }
@@ -314,7 +316,7 @@
   // The same, but the new owner has not read the configuration yet.
   void TakeOverWithoutConfiguration() {
     ++m_owner_fence;
-    m_core = std::make_unique<CellCore>(CellBounds{});
+    m_core = std::make_unique<CellCore>(CellBounds{}, m_features);
     Recover();
   }
 
@@ -354,6 +356,7 @@
   std::vector<StopRun> m_stops;
   std::vector<JobFailure> m_failures;
   std::vector<GangDelay> m_gang_delays;
+  std::vector<VmSpeedChange> m_speed_changes;
   std::vector<AdviceRequest> m_asked;
   bool m_store_up = true;
   // Which VMs the advice service allows.
@@ -398,6 +401,10 @@
 
   void Execute(const GangDelay& delay) { m_gang_delays.push_back(delay); }
 
+  void Execute(const VmSpeedChange& change) {
+    m_speed_changes.push_back(change);
+  }
+
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
     SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
@@ -523,6 +530,7 @@
     m_core->OnAdvice(answer, Now());
   }
 
+  CellFeatures m_features;
   std::unique_ptr<CellCore> m_core;
   CellRules m_rules;
   std::int64_t m_now_ms = 1'000;
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -81,6 +81,8 @@
   set("advice_calls", static_cast<double>(counters.m_asks));
   set("scheduling_passes", static_cast<double>(counters.m_passes));
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
+  set("vm_speeds_known", static_cast<double>(core->Speeds().Size()));
+  set("vm_speed_changes", static_cast<double>(core->Speeds().Changes()));
   set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
   set("steps_waiting", static_cast<double>(core->Ready().Size()));
   for (const auto& [end, count] : counters.m_ends) {
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -37,6 +37,7 @@
 
 struct CellOwnerOptions {
   CellBounds m_bounds;
+  CellFeatures m_features;
   // Key prefix of the platform's VM list in the store.
   std::string m_vm_prefix;
   VmDecoder m_decode_vm;
@@ -82,7 +83,7 @@
         m_link(m_options.m_link_bytes_per_ms),
         m_link_budget(m_options.m_link_bytes_per_ms),
         m_submissions(m_link.MaxBatchBytes()),
-        m_core(m_options.m_bounds),
+        m_core(m_options.m_bounds, m_options.m_features),
         m_log(store, loop, m_link),
         m_holder(vms, loop, m_core, owner.m_revision,
                  {[this] { SchedulePump(); }, [this] { Superseded(); }},
@@ -455,6 +456,8 @@
 
   void Execute(const GangDelay& delay) { LogGangDelay(delay); }
 
+  void Execute(const VmSpeedChange& change) { LogVmSpeed(change); }
+
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
     if (found == m_pending_requests.end()) {
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -57,6 +57,14 @@
   bool operator==(const CellBounds&) const = default;
 };
 
+// Parts of the owner's decisions that a deployment turns on by its settings.
+struct CellFeatures {
+  // Places tasks by the estimated speed of the VMs (VmSpeeds).
+  bool m_place_by_speed = false;
+
+  bool operator==(const CellFeatures&) const = default;
+};
+
 // --- Replies to callers ---
 
 enum class CellOutcome : std::uint8_t {
@@ -167,8 +175,21 @@
   bool operator==(const JobFailure&) const = default;
 };
 
+// The estimated speed of a VM changed by more than a quarter. For the
+// operator's log.
+struct VmSpeedChange {
+  VmIncarnation m_vm;
+  // Relative to the mean of its service.
+  double m_before = 1;
+  double m_after = 1;
+  // The evidence: about the number of runs.
+  double m_samples = 0;
+
+  bool operator==(const VmSpeedChange&) const = default;
+};
+
 using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller,
-                            JobFailure, GangDelay>;
+                            JobFailure, GangDelay, VmSpeedChange>;
 
 // --- Events ---
 
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -122,6 +122,15 @@
        {"room", delay.m_room}});
 }
 
+void LogVmSpeed(const VmSpeedChange& change) {
+  Log(LogLevel::kInfo, LogCategory::kCell, "vm_speed_changed",
+      {{"vm", change.m_vm.m_id},
+       {"born", change.m_vm.m_born},
+       {"speed_before", change.m_before},
+       {"speed", change.m_after},
+       {"samples", change.m_samples}});
+}
+
 void LogAdvice(const AdviceAnswer& answer) {
   std::string good;
   for (const AdviceAnswer::Row& row : answer.m_good) {
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -51,6 +51,11 @@
   bool m_awaiting_log = false;
   // Volatile.
   RunProgress m_progress;
+  // Volatile, on the VM's clock: when the VM answered the start; 0 if this
+  // owner has no such answer.
+  std::int64_t m_started_vm_ms = 0;
+  // Volatile: the run tells nothing (more) of its VM's speed (VmSpeeds).
+  bool m_speed_settled = false;
 
   // The VM fell silent right after the start: as the only run that it had just
   // confirmed, or not.
--- a/Source/Core/cell/pool_capacity.h
+++ b/Source/Core/cell/pool_capacity.h
@@ -24,6 +24,10 @@
 struct Slot {
   VmState* m_vm = nullptr;
   Resources m_free;
+  // Relative to the mean of the pool, and the same in steps of like speed: 0
+  // around the mean, more for faster VMs (speed_choice.h).
+  double m_speed = 1;
+  int m_speed_class = 0;
 
   const std::string& VmId() const { return m_vm->Incarnation().m_id; }
 };
@@ -63,6 +67,11 @@
     }
   }
 
+  // The VMs that are not slower than the mean have little room left, at the
+  // begin of the pass, and others have some.
+  bool FastVmsAreScarce() const { return m_fast_vms_are_scarce; }
+  void SetFastVmsAreScarce(bool scarce) { m_fast_vms_are_scarce = scarce; }
+
   // VMs added, found or visited so far: the work that the pass has done.
   std::uint64_t Examined() const { return m_examined; }
 
@@ -88,6 +97,7 @@
   FitTree m_fit;
   absl::flat_hash_map<std::string_view, std::size_t> m_index;
   std::uint64_t m_examined = 0;
+  bool m_fast_vms_are_scarce = false;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/run_progress.cc
+++ b/Source/Core/cell/run_progress.cc
@@ -11,12 +11,16 @@
 constexpr std::int64_t kShortWindowMs = 300;
 constexpr double kMinWindowPercent = 4;
 constexpr std::int64_t kLongWindowMs = 900;
+// The mean rate is then known to about 5 %.
+constexpr double kMinMeanPercent = 20;
 
 }  // namespace
 
 void RunProgress::OnReport(double percent, std::int64_t vm_ms) {
   if (!m_reported) {
     m_reported = true;
+    m_first_percent = percent;
+    m_first_vm_ms = vm_ms;
     m_window_start_percent = percent;
     m_window_start_vm_ms = vm_ms;
     m_last_change_vm_ms = vm_ms;
@@ -43,6 +47,14 @@
   m_window_start_vm_ms = vm_ms;
 }
 
+std::optional<double> RunProgress::MeanRate() const {
+  const double percent = m_percent - m_first_percent;
+  if (percent < kMinMeanPercent || WorkDone() || m_vm_ms <= m_first_vm_ms) {
+    return std::nullopt;
+  }
+  return percent / static_cast<double>(m_vm_ms - m_first_vm_ms);
+}
+
 std::int64_t RunProgress::UnchangedForMs() const {
   return WorkDone() ? 0 : m_vm_ms - m_last_change_vm_ms;
 }
--- a/Source/Core/cell/run_progress.h
+++ b/Source/Core/cell/run_progress.h
@@ -21,6 +21,9 @@
   // Percent per millisecond in the newest measurement; nullopt before the
   // first.
   std::optional<double> Rate() const { return m_rate; }
+  // Percent per millisecond since the first report; nullopt before a fifth of
+  // the work was reported, as shares are rounded, and once all of it is done.
+  std::optional<double> MeanRate() const;
   // The highest rate so far.
   std::optional<double> BestRate() const { return m_best_rate; }
   // How long the share had been unchanged at the newest report; 0 if the work
@@ -40,6 +43,9 @@
   std::int64_t m_vm_ms = 0;
   // Time of the first report with the current share.
   std::int64_t m_last_change_vm_ms = 0;
+  // The first report.
+  double m_first_percent = 0;
+  std::int64_t m_first_vm_ms = 0;
   // Start of the window over which the next rate is measured.
   double m_window_start_percent = 0;
   std::int64_t m_window_start_vm_ms = 0;
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -19,9 +19,10 @@
 ScheduleResult Scheduler::Decide(CellState& state, const ReadySteps& ready,
                                  const CellRules& rules, const CellTime& now,
                                  std::size_t free_advice_calls,
-                                 std::int64_t max_start_bytes) {
+                                 std::int64_t max_start_bytes,
+                                 const VmSpeeds* speeds) {
   return SchedulingPass(*this, state, rules, now, free_advice_calls,
-                        max_start_bytes)
+                        max_start_bytes, speeds)
       .Run(ready);
 }
 
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -33,6 +33,8 @@
 inline constexpr std::int64_t kUnlimitedStartBytes =
     std::numeric_limits<std::int64_t>::max();
 
+class VmSpeeds;
+
 struct ScheduleResult {
   std::vector<Placement> m_placements;
   std::vector<AdviceRequest> m_advice_requests;
@@ -47,11 +49,13 @@
 class Scheduler {
  public:
   // Returns at most `free_advice_calls` advice requests, and starts of about
-  // `max_start_bytes` together. Records the requested VMs in the state.
+  // `max_start_bytes` together. Records the requested VMs in the state. Without
+  // `speeds` all VMs are taken to be equally fast.
   ScheduleResult Decide(CellState& state, const ReadySteps& ready,
                         const CellRules& rules, const CellTime& now,
                         std::size_t free_advice_calls,
-                        std::int64_t max_start_bytes = kUnlimitedStartBytes);
+                        std::int64_t max_start_bytes = kUnlimitedStartBytes,
+                        const VmSpeeds* speeds = nullptr);
 
   // Updates the moving average of the share of VMs recommended for the queue.
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -8,6 +8,7 @@
 #include "cell/advice_plan.h"
 #include "cell/crash_timing.h"
 #include "cell/link_share.h"
+#include "cell/speed_choice.h"
 
 namespace mustardslip {
 namespace {
@@ -32,7 +33,8 @@
 SchedulingPass::SchedulingPass(const Scheduler& scheduler, CellState& state,
                                const CellRules& rules, const CellTime& now,
                                std::size_t free_advice_calls,
-                               std::int64_t max_start_bytes)
+                               std::int64_t max_start_bytes,
+                               const VmSpeeds* speeds)
     : m_scheduler(scheduler),
       m_state(state),
       m_rules(rules),
@@ -56,6 +58,7 @@
   });
   for (auto& [service, pool] : m_pools) {
     pool.m_capacity.Finish(now.m_steady_ms);
+    SetSpeeds(speeds, pool.m_capacity);
     pool.m_max_reserving_gangs = std::max(
         kMinReservingGangs,
         static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
@@ -136,6 +139,7 @@
   const StepState& state = *ready.m_state;
   const bool pending = !state.m_pending_advice_vms.empty();
   StepPlacement step(ready, m_now.m_steady_ms);
+  step.SetSpeedWish(SpeedWishOf(ready, pool.m_capacity, m_now.m_unix_ms));
   const bool may_start =
       step.MayHaveTickets() && pool.m_capacity.HasRoom(step.Spec().Charge());
   const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
@@ -245,12 +249,13 @@
 }
 
 // Smaller is better: in the preferred rack, then not the VM of the last
-// failure, then the least free CPU (best fit).
-std::tuple<bool, bool, std::int64_t> SchedulingPass::Rank(
+// failure, then of the wanted speed, then the least free CPU (best fit).
+std::tuple<bool, bool, int, std::int64_t> SchedulingPass::Rank(
     const StepPlacement& step, const TaskState& task, const Slot& slot) {
   const std::string& rack = step.Spec().m_rack_affinity;
   return {!rack.empty() && !slot.m_vm->HasLabel(rack),
-          task.m_last_failed_vm == slot.VmId(), slot.m_free.m_cpu_millis};
+          task.m_last_failed_vm == slot.VmId(),
+          SpeedRank(step.WantedSpeed(), slot), slot.m_free.m_cpu_millis};
 }
 
 bool SchedulingPass::MayRequestAdvice(const StepState& step) const {
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -22,7 +22,8 @@
  public:
   SchedulingPass(const Scheduler& scheduler, CellState& state,
                  const CellRules& rules, const CellTime& now,
-                 std::size_t free_advice_calls, std::int64_t max_start_bytes);
+                 std::size_t free_advice_calls, std::int64_t max_start_bytes,
+                 const VmSpeeds* speeds);
   ScheduleResult Run(const ReadySteps& ready);
 
  private:
@@ -52,9 +53,8 @@
                                            PoolCapacity& pool);
   static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
                         const std::vector<Slot*>& slots);
-  static std::tuple<bool, bool, std::int64_t> Rank(const StepPlacement& step,
-                                                   const TaskState& task,
-                                                   const Slot& slot);
+  static std::tuple<bool, bool, int, std::int64_t> Rank(
+      const StepPlacement& step, const TaskState& task, const Slot& slot);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -4,6 +4,7 @@
 
 #include "cell/advice_plan.h"
 #include "cell/scheduling_pass.h"
+#include "cell/speed_choice.h"
 
 namespace mustardslip {
 namespace {
@@ -282,6 +283,7 @@
   if (step.Spec().m_same_rack || !step.Spec().m_rack_affinity.empty()) {
     PreferOneRack(step.Spec().m_rack_affinity, tasks, fits);
   }
+  KeepFastest(tasks, fits);
   const std::uint32_t run = step.State().m_last_run + 1;
   std::uint32_t index = 0;
   for (const auto& [slot, fit] : fits) {
--- a/Source/Core/cell/step_placement.h
+++ b/Source/Core/cell/step_placement.h
@@ -11,6 +11,15 @@
 
 namespace mustardslip {
 
+// Which VMs a step prefers by their speed (speed_choice.h).
+struct SpeedWish {
+  // The slowest that are still fast enough go first.
+  bool m_slow_first = false;
+  double m_min_speed = 0;
+
+  bool operator==(const SpeedWish&) const = default;
+};
+
 class StepPlacement {
  public:
   // A ticket is used only if it stays valid for this long, which covers the log
@@ -25,6 +34,9 @@
   StepState& State() const { return *m_step.m_state; }
   const Job& OwningJob() const { return *m_step.m_job; }
   const QueueRules& Queue() const { return m_step.m_job->m_spec.m_queue; }
+  // Which VMs the step prefers by their speed; the fastest by default.
+  void SetSpeedWish(const SpeedWish& wish) { m_speed_wish = wish; }
+  const SpeedWish& WantedSpeed() const { return m_speed_wish; }
   bool NeedsAdvice() const { return Queue().m_needs_advice; }
 
   // How many tasks of the step fit on the VM, as far as the step's limit per VM
@@ -73,6 +85,7 @@
   const ReadyStep m_step;
   const StepSpec& m_spec;
   const std::int64_t m_now_ms;
+  SpeedWish m_speed_wish;
   // Tasks of the step by VM id, including those placed by this pass. Empty
   // unless the step has a limit per VM.
   std::map<std::string, std::int64_t> m_on_vm;
