--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -37,7 +37,7 @@
 
 struct CellOwnerOptions {
   CellBounds m_bounds;
-  SchedulingOptions m_scheduling;
+  CellFeatures m_features;
   // Key prefix of the platform's VM list in the store.
   std::string m_vm_prefix;
   VmDecoder m_decode_vm;
@@ -83,7 +83,7 @@
         m_link(m_options.m_link_bytes_per_ms),
         m_link_budget(m_options.m_link_bytes_per_ms),
         m_submissions(m_link.MaxBatchBytes()),
-        m_core(m_options.m_bounds, m_options.m_scheduling),
+        m_core(m_options.m_bounds, m_options.m_features),
         m_log(store, loop, m_link),
         m_holder(vms, loop, m_core, owner.m_revision,
                  {[this] { SchedulePump(); }, [this] { Superseded(); }},
@@ -456,6 +456,8 @@
 
   void Execute(const GangDelay& delay) { LogGangDelay(delay); }
 
+  void Execute(const VmSpeedChange& change) { LogVmSpeed(change); }
+
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
     if (found == m_pending_requests.end()) {
--- a/Source/Core/cell/preemption_test.cc
+++ b/Source/Core/cell/preemption_test.cc
@@ -21,6 +21,7 @@
 constexpr int kBatchJob = 2;
 constexpr std::uint32_t kBatchTasks = 32;
 constexpr std::uint32_t kMembers = 8;
+constexpr CellFeatures kPreemption{.m_preemption = true};
 
 PreemptibleRun MakeRun(std::uint32_t index, std::int64_t priority,
                        std::int64_t cpu_millis) {
@@ -56,10 +57,10 @@
 
 class GangPreemptionTest : public testing::Test {
  protected:
-  GangPreemptionTest() { Reset({true}); }
+  GangPreemptionTest() { Reset(kPreemption); }
 
-  void Reset(SchedulingOptions options) {
-    m_cell = CellHarness(options);
+  void Reset(CellFeatures features) {
+    m_cell = CellHarness(features);
     for (int i = 0; i < kVms; ++i) {
       m_cell.AddVm("vm-" + std::to_string(i), kVmCapacity);
     }
@@ -153,7 +154,7 @@
       {Batch(), 0}};
   for (std::size_t i = 0; i < forms.size(); ++i) {
     SCOPED_TRACE(i);
-    Reset({true});
+    Reset(kPreemption);
     ASSERT_NO_FATAL_FAILURE(Fill(forms[i].first, forms[i].second));
     SubmitGang();
     m_cell.Run(2'000);
@@ -189,7 +190,7 @@
   m_cell.Run(2'000);
   EXPECT_EQ(Preempted(), 0U);
 
-  Reset({true});
+  Reset(kPreemption);
   constexpr int kJobsInABurst = 5;
   m_cell.SetTeam("team", {{}, 1, 0});
   ASSERT_NO_FATAL_FAILURE(Fill(Batch()));
@@ -303,14 +304,14 @@
 // Plays 40 s at 120 % of a fleet: independent tasks of 4 s that alone would
 // fill it, and each 5 s a gang of half of it, whose objective leaves it 1.5 s
 // to wait.
-LoadResult PlayLoad(SchedulingOptions options) {
+LoadResult PlayLoad(CellFeatures features) {
   constexpr std::int64_t kTaskMs = 4'000;
   constexpr std::int64_t kGangMs = 2'000;
   constexpr std::int64_t kObjectiveMs = 3'500;
   constexpr std::int64_t kTickMs = 500;
   constexpr int kTasksPerTick = 4;
   constexpr int kGangIntervalMs = 5'000;
-  CellHarness cell(options);
+  CellHarness cell(features);
   for (int i = 0; i < kVms; ++i) {
     cell.AddVm("vm-" + std::to_string(i), kVmCapacity);
   }
@@ -368,7 +369,7 @@
 // Fails if gangs starve on a fleet that independent tasks fill, or if the tasks
 // that are stopped for them lose their work.
 TEST(GangPreemptionLoadTest, GangsAreOnTimeAndOthersLoseLittle) {
-  const LoadResult with = PlayLoad({true});
+  const LoadResult with = PlayLoad(kPreemption);
   const LoadResult without = PlayLoad({});
   EXPECT_EQ(with.m_gangs_on_time, 8);
   EXPECT_LT(without.m_gangs_on_time, 8);
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -17,7 +17,6 @@
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
 #include "cell/ready_steps.h"
-#include "cell/scheduling_options.h"
 
 namespace mustardslip {
 
@@ -34,6 +33,8 @@
 inline constexpr std::int64_t kUnlimitedStartBytes =
     std::numeric_limits<std::int64_t>::max();
 
+class VmSpeeds;
+
 struct ScheduleResult {
   std::vector<Placement> m_placements;
   std::vector<AdviceRequest> m_advice_requests;
@@ -54,16 +55,18 @@
 
 class Scheduler {
  public:
-  explicit Scheduler(SchedulingOptions options = {}) : m_options(options) {}
+  explicit Scheduler(CellFeatures features = {}) : m_features(features) {}
 
-  const SchedulingOptions& Options() const { return m_options; }
+  const CellFeatures& Features() const { return m_features; }
 
   // Returns at most `free_advice_calls` advice requests, and starts of about
-  // `max_start_bytes` together. Records the requested VMs in the state.
+  // `max_start_bytes` together. Records the requested VMs in the state. Without
+  // `speeds` all VMs are taken to be equally fast.
   ScheduleResult Decide(CellState& state, const ReadySteps& ready,
                         const CellRules& rules, const CellTime& now,
                         std::size_t free_advice_calls,
                         std::int64_t max_start_bytes = kUnlimitedStartBytes,
+                        const VmSpeeds* speeds = nullptr,
                         PassKind kind = PassKind::kPlan);
 
   // Updates the moving average of the share of VMs recommended for the queue.
@@ -75,7 +78,7 @@
   std::vector<StepRef>& ReservingGangs() { return m_reserving_gangs; }
 
  private:
-  const SchedulingOptions m_options;
+  const CellFeatures m_features;
   std::vector<StepRef> m_reserving_gangs;
   std::map<std::string, double> m_good_share;
 };
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -24,7 +24,8 @@
  public:
   SchedulingPass(Scheduler& scheduler, CellState& state, const CellRules& rules,
                  const CellTime& now, std::size_t free_advice_calls,
-                 std::int64_t max_start_bytes, PassKind kind);
+                 std::int64_t max_start_bytes, const VmSpeeds* speeds,
+                 PassKind kind);
   ScheduleResult Run(const ReadySteps& ready);
 
  private:
@@ -56,9 +57,8 @@
                                            PoolCapacity& pool);
   static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
                         const std::vector<Slot*>& slots);
-  static std::tuple<bool, bool, std::int64_t> Rank(const StepPlacement& step,
-                                                   const TaskState& task,
-                                                   const Slot& slot);
+  static std::tuple<bool, bool, int, std::int64_t> Rank(
+      const StepPlacement& step, const TaskState& task, const Slot& slot);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
@@ -121,7 +121,7 @@
                              std::int64_t tasks);
 
   // --- Room for gangs by preemption ---
-  bool Preempts() const { return m_scheduler.Options().m_preemption; }
+  bool Preempts() const { return m_scheduler.Features().m_preemption; }
   void ServeReservations();
   bool ServeReservation(const StepRef& ref);
   bool MayPreemptFor(const ReadyStep& ready, const Pool& pool) const;
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -9,6 +9,7 @@
 
 #include "cell/advice_plan.h"
 #include "cell/scheduling_pass.h"
+#include "cell/speed_choice.h"
 
 namespace mustardslip {
 namespace {
@@ -120,35 +121,32 @@
 // stopped there, those with the most free room first. Empty if they do not.
 std::vector<GangReservation::Vm> SchedulingPass::ChooseVmsToReserve(
     const StepPlacement& step, Pool& pool, std::int64_t tasks) {
-  struct Candidate {
-    const Slot* m_slot = nullptr;
-    std::int64_t m_fit = 0;
-    std::int64_t m_fit_after_stops = 0;
-  };
-  std::vector<Candidate> candidates;
+  // How many members fit after the stops.
+  std::vector<SlotFit> candidates;
   const std::int64_t priority = step.Queue().m_priority;
-  VisitAllowed(step, pool.m_capacity, [&](const Slot& slot) {
+  VisitAllowed(step, pool.m_capacity, [&](Slot& slot) {
     Slot emptied = slot;
     emptied.m_free = slot.m_free + PreemptibleCapacity(
                                        PreemptibleRunsOn(*slot.m_vm), priority);
-    const std::int64_t fit_after_stops = step.Fit(emptied);
-    if (fit_after_stops > 0) {
-      candidates.push_back({&slot, step.Fit(slot), fit_after_stops});
+    const std::int64_t fit = step.Fit(emptied);
+    if (fit > 0) {
+      candidates.push_back({&slot, fit});
     }
   });
+  KeepFastest(tasks, candidates);
   std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& a, const Candidate& b) {
-                     return std::pair(a.m_fit, a.m_fit_after_stops) >
-                            std::pair(b.m_fit, b.m_fit_after_stops);
+                   [&](const SlotFit& a, const SlotFit& b) {
+                     return std::pair(step.Fit(*a.m_slot), a.m_fit) >
+                            std::pair(step.Fit(*b.m_slot), b.m_fit);
                    });
   std::vector<GangReservation::Vm> chosen;
   std::int64_t left = tasks;
-  for (const Candidate& candidate : candidates) {
+  for (const auto& [slot, fit] : candidates) {
     if (left == 0) {
       break;
     }
-    const std::int64_t members = std::min(candidate.m_fit_after_stops, left);
-    chosen.push_back({candidate.m_slot->VmId(), members});
+    const std::int64_t members = std::min(fit, left);
+    chosen.push_back({slot->VmId(), members});
     left -= members;
   }
   return left == 0 ? chosen : std::vector<GangReservation::Vm>{};
