--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -18,8 +18,7 @@
 constexpr std::int64_t kAdviceIntervalMs = 60;
 // Limit on gangs that reserve free capacity against later steps in the order:
 // one per kVmsPerGang VMs, at least kMinReservingGangs. More would leave VMs
-// idle behind gangs that wait for each other. With preemption, room is made for
-// gangs instead of kept idle, and kMinReservingGangs is enough.
+// idle behind gangs that wait for each other.
 constexpr int kMinReservingGangs = 2;
 constexpr int kVmsPerGang = 24;
 // At most one in this many VMs is kept for suspects at a time.
@@ -62,12 +61,9 @@
   for (auto& [service, pool] : m_pools) {
     pool.m_capacity.Finish(now.m_steady_ms);
     SetSpeeds(speeds, pool.m_capacity);
-    pool.m_max_reserving_gangs = kMinReservingGangs;
-    if (!Preempts()) {
-      pool.m_max_reserving_gangs = std::max(
-          kMinReservingGangs,
-          static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
-    }
+    pool.m_max_reserving_gangs = std::max(
+        kMinReservingGangs,
+        static_cast<int>(pool.m_capacity.Slots().size()) / kVmsPerGang);
     for (const Slot& slot : pool.m_capacity.Slots()) {
       pool.m_total_cpu_millis +=
           slot.m_vm->m_description.m_capacity.m_cpu_millis;
@@ -76,6 +72,9 @@
 }
 
 ScheduleResult SchedulingPass::Run(const ReadySteps& ready) {
+  if (m_scheduler.Features().m_preemption) {
+    FindOverloadedPools(ready);
+  }
   ServeReservations();
   PlaceOverdueGangs(ready);
   ready.Visit(m_now.m_unix_ms, [this](const ReadyStep& step) {
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -40,6 +40,10 @@
     // their share of the pool.
     std::int64_t m_overdue_cpu_millis = 0;
     bool m_overdue_share_used = false;
+    // Needed by the tasks that wait.
+    std::int64_t m_waiting_cpu_millis = 0;
+    // Room is made for gangs by preemption.
+    bool m_preempts = false;
     // Need of the gangs with a reservation.
     std::int64_t m_reserved_cpu_millis = 0;
   };
@@ -121,7 +125,7 @@
                              std::int64_t tasks);
 
   // --- Room for gangs by preemption ---
-  bool Preempts() const { return m_scheduler.Features().m_preemption; }
+  void FindOverloadedPools(const ReadySteps& ready);
   void ServeReservations();
   bool ServeReservation(const StepRef& ref);
   bool MayPreemptFor(const ReadyStep& ready, const Pool& pool) const;
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -204,7 +204,8 @@
     return;
   }
   if (may_ask) {
-    const auto choose = Preempts() ? ChooseVmsAheadOfRoom : ChooseVmsForGang;
+    const auto choose =
+        pool.m_preempts ? ChooseVmsAheadOfRoom : ChooseVmsForGang;
     RequestAdvice(step, choose(step, pool.m_capacity, tasks, GoodShare(step)));
   }
   if (may_reserve) {
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -14,6 +14,11 @@
 namespace mustardslip {
 namespace {
 
+// A pool is overloaded if the tasks that wait need this share of it.
+constexpr std::int64_t kOverloadPercent = 50;
+// Gangs that keep room idle in an overloaded pool: those too large for
+// preemption have their turn, too.
+constexpr int kMinReservingGangs = 2;
 // Gangs with a reservation take at most this share of a pool, but for one that
 // is larger alone.
 constexpr std::int64_t kMaxReservedPercent = 40;
@@ -28,6 +33,29 @@
 
 }  // namespace
 
+// Finds the pools in which so much work waits that room does not become free
+// for a gang by itself. There, room is made instead of kept idle.
+void SchedulingPass::FindOverloadedPools(const ReadySteps& ready) {
+  ready.Visit(m_now.m_unix_ms, [this](const ReadyStep& step) {
+    const auto found = m_pools.find(step.m_job->m_spec.m_queue.m_service);
+    if (found == m_pools.end()) {
+      return true;
+    }
+    Pool& pool = found->second;
+    const StepState& state = *step.m_state;
+    pool.m_waiting_cpu_millis +=
+        step.Spec().Charge().m_cpu_millis *
+        (TaskCount(step) - state.m_done - state.m_open);
+    pool.m_preempts = pool.m_waiting_cpu_millis * 100 >=
+                      pool.m_total_cpu_millis * kOverloadPercent;
+    if (pool.m_preempts) {
+      pool.m_max_reserving_gangs = kMinReservingGangs;
+    }
+    // Most deployments have one pool.
+    return m_pools.size() > 1 || !pool.m_preempts;
+  });
+}
+
 // Gangs with a reservation go before all others: room has been made for them.
 void SchedulingPass::ServeReservations() {
   std::erase_if(m_scheduler.ReservingGangs(),
@@ -79,7 +107,7 @@
                                    const Pool& pool) const {
   const std::int64_t reserved =
       pool.m_reserved_cpu_millis + NeededCpuMillis(ready);
-  return Preempts() && !ready.m_job->m_over_rate &&
+  return pool.m_preempts && !ready.m_job->m_over_rate &&
          LatestStart(ready) > m_now.m_unix_ms &&
          (pool.m_reserved_cpu_millis == 0 ||
           reserved * 100 <= pool.m_total_cpu_millis * kMaxReservedPercent);
