--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -15,7 +15,7 @@
 namespace {
 
 // A pool is overloaded if the tasks that wait need this share of it.
-constexpr std::int64_t kOverloadPercent = 50;
+constexpr std::int64_t kOverloadPercent = 100;
 // Gangs that keep room idle in an overloaded pool: those too large for
 // preemption have their turn, too.
 constexpr int kMinReservingGangs = 2;
