Evacuated zones: their VMs get no starts

Operators need to empty a zone without touching each VM. CellCore keeps the set of evacuated zones, and IsUsable leaves their VMs out of starts, reservations, advice requests and moves. Planned starts whose record becomes durable after the evacuation are closed as not started, and a gang with such a member is aborted before any of its members is sent. VMs whose entry has cold_left_ms are used last.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace mustardslip {
 namespace {
@@ -16,6 +17,9 @@
 constexpr std::size_t kMaxVmsPerAdviceCall = 100;
 // Limits the work of choosing the VMs of one call.
 constexpr std::size_t kMaxVmsConsidered = 128;
+// The same limit if cold VMs, which are named last, are among them: all VMs of
+// a zone may have restarted.
+constexpr std::size_t kMaxVmsWithColdOnes = 4 * kMaxVmsConsidered;
 // Number of VMs that an advice call for a gang usually names.
 constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
 
@@ -103,9 +107,11 @@
 }
 
 void SortLargestFirst(std::vector<SlotFit>& fits) {
-  std::stable_sort(
-      fits.begin(), fits.end(),
-      [](const SlotFit& a, const SlotFit& b) { return a.m_fit > b.m_fit; });
+  std::stable_sort(fits.begin(), fits.end(),
+                   [](const SlotFit& a, const SlotFit& b) {
+                     return std::pair(a.m_slot->m_cold, b.m_fit) <
+                            std::pair(b.m_slot->m_cold, a.m_fit);
+                   });
 }
 
 std::int64_t TotalFit(const std::vector<SlotFit>& fits) {
@@ -140,19 +146,23 @@
     }
   });
   std::vector<SlotFit> unknown;
+  std::size_t cold = 0;
   pool.VisitFitting(step.Spec().Charge(), FirstSlot(step, pool),
                     [&](Slot& slot) {
                       const std::int64_t fit = step.Fit(slot);
                       if (fit > 0 && step.AdviceFor(slot) == nullptr &&
                           step.HasRequiredLabel(slot)) {
                         unknown.push_back({&slot, fit});
+                        cold += slot.m_cold ? 1 : 0;
                       }
-                      return unknown.size() < kMaxVmsConsidered;
+                      return unknown.size() - cold < kMaxVmsConsidered &&
+                             unknown.size() < kMaxVmsWithColdOnes;
                     });
   // Best fit leaves the VMs with much free capacity to gangs and large tasks.
   std::stable_sort(
       unknown.begin(), unknown.end(), [](const SlotFit& a, const SlotFit& b) {
-        return a.m_slot->m_free.m_cpu_millis < b.m_slot->m_free.m_cpu_millis;
+        return std::pair(a.m_slot->m_cold, a.m_slot->m_free.m_cpu_millis) <
+               std::pair(b.m_slot->m_cold, b.m_slot->m_free.m_cpu_millis);
       });
   for (const auto& [slot, fit] : unknown) {
     if (enough()) {
--- a/Source/Core/cell/advice_plan.h
+++ b/Source/Core/cell/advice_plan.h
@@ -25,7 +25,7 @@
 std::vector<SlotFit> RecommendedFits(const StepPlacement& step,
                                      PoolCapacity& pool);
 
-// Keeps the order of VMs with the same fit.
+// Cold VMs last. Keeps the order of VMs with the same fit.
 void SortLargestFirst(std::vector<SlotFit>& fits);
 
 std::int64_t TotalFit(const std::vector<SlotFit>& fits);
--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -321,7 +321,8 @@
                         std::int64_t max_start_bytes) {
   // A planned run reserves capacity, so nothing is planned that cannot be
   // written.
-  if (!m_dirty || !m_configured || !m_store_writable || m_ready.Empty()) {
+  if (!m_dirty || !m_configured || !m_zones_known || !m_store_writable ||
+      m_ready.Empty()) {
     return;
   }
   m_dirty = false;
@@ -341,7 +342,7 @@
 
 void CellCore::RequestAdviceAhead(const CellTime& now,
                                   std::size_t free_advice_calls) {
-  if (!m_configured || !m_store_writable || m_ready.Empty() ||
+  if (!m_configured || !m_zones_known || !m_store_writable || m_ready.Empty() ||
       free_advice_calls == 0) {
     return;
   }
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -51,6 +51,18 @@
   std::uint64_t m_vms_examined = 0;
 };
 
+// The VMs of a zone and the runs on them.
+struct ZoneUse {
+  // VMs that the VM list names now.
+  std::size_t m_vms = 0;
+  // Open runs, also on VMs that are not listed any more.
+  std::size_t m_runs = 0;
+  // False if no VM of the zone has been seen.
+  bool m_known = false;
+
+  bool operator==(const ZoneUse&) const = default;
+};
+
 class CellCore {
  public:
   explicit CellCore(CellBounds bounds) : m_bounds(bounds) {}
@@ -64,6 +76,21 @@
   void OnVmListed(const VmDescription& vm, const CellTime& now);
   void OnVmUnlisted(const std::string& id, const CellTime& now);
 
+  // --- Evacuated zones (cell_core_zones.cc) ---
+  // Nothing is started, and no advice requested, before OnZonesListed.
+  void AwaitZones() { m_zones_known = false; }
+  // The calls of OnZoneEvacuated so far give all evacuated zones.
+  void OnZonesListed();
+  // VMs of an evacuated zone get no starts, also not those planned already.
+  // Runs there continue.
+  void OnZoneEvacuated(const std::string& zone, bool evacuated);
+  const std::set<std::string>& EvacuatedZones() const {
+    return m_evacuated_zones;
+  }
+  ZoneUse UseOfZone(const std::string& zone) const;
+  // Listed VMs that are in an evacuated zone.
+  std::size_t EvacuatedVms() const;
+
   // --- Requests of callers; each is answered by a ReplyToCaller effect ---
   void Submit(std::uint64_t token, WorkflowSpec spec, const CellTime& now);
   void Cancel(std::uint64_t token, const std::string& queue,
@@ -204,6 +231,13 @@
   void SendStop(const TaskRef& task, OpenRun& run, StopReason reason,
                 const CellTime& now);
   void HandleVmPace(VmState& vm, const CellTime& now);
+  // --- Evacuated zones (cell_core_zones.cc) ---
+  void SetDescription(VmState& vm, const VmDescription& description,
+                      const CellTime& now) const;
+  void AbortEvacuatedGangs(const Batch& batch);
+  bool GangFitsOutsideZones(const VmState& vm, const Job& job,
+                            const StepSpec& spec, const StepState& step,
+                            std::int64_t now_ms) const;
   void MoveRun(const VmState& vm, const RunKey& key, const CellTime& now);
   bool HasCapacityElsewhere(const VmState& vm, const Job& job,
                             const StepSpec& spec, const StepState& step,
@@ -275,6 +309,9 @@
   // Suspects of VMs whose lease expired before it was known whether they
   // crashed, as crashes to confirm.
   std::map<VmIncarnation, std::vector<CrashSuspicion>> m_lost_suspects;
+  std::set<std::string> m_evacuated_zones;
+  // False until the evacuated zones are known (AwaitZones).
+  bool m_zones_known = true;
   bool m_dirty = true;
   bool m_store_writable = true;
   // When recovery finished.
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -27,9 +27,10 @@
 
 }  // namespace
 
-void CellCore::OnVmListed(const VmDescription& description, const CellTime&) {
+void CellCore::OnVmListed(const VmDescription& description,
+                          const CellTime& now) {
   VmState& vm = m_state.FindOrCreateVm(description.m_incarnation);
-  vm.m_description = description;
+  SetDescription(vm, description, now);
   // The list names one incarnation of a VM. Runs of others end only when the
   // new one reports: the entry may be another writer's, and a start may have
   // reached the new incarnation before it was listed.
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -129,6 +129,7 @@
             "OnDurable requires a log batch in flight");
   const Batch batch = std::move(*m_in_flight);
   m_in_flight.reset();
+  AbortEvacuatedGangs(batch);
   for (const DeferredEffect& effect : batch.m_deferred) {
     Release(effect, now);
   }
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -162,7 +162,9 @@
   }
   const MoveCost cost = EstimateMoveCost(spec, step, task, *run, vm.m_pace);
   if (cost.m_stay_ms < cost.m_move_ms * kMinMoveGain ||
-      !HasCapacityElsewhere(vm, *job, spec, step, now.m_steady_ms)) {
+      !HasCapacityElsewhere(vm, *job, spec, step, now.m_steady_ms) ||
+      (spec.m_gang &&
+       !GangFitsOutsideZones(vm, *job, spec, step, now.m_steady_ms))) {
     return;
   }
   ++task.m_moves;
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -83,6 +83,8 @@
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
   set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
   set("steps_waiting", static_cast<double>(core->Ready().Size()));
+  set("zones_evacuated", static_cast<double>(core->EvacuatedZones().size()));
+  set("vms_evacuated", static_cast<double>(core->EvacuatedVms()));
   for (const auto& [end, count] : counters.m_ends) {
     m_ends.Add({{"how", std::string(ToString(end))}})
         .Set(static_cast<double>(count));
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,6 +27,7 @@
 #include "cell/submission_queue.h"
 #include "cell/vm_poller.h"
 #include "cell/work_meter.h"
+#include "cell/zone_feed.h"
 #include "common/callback_guard.h"
 #include "common/logger.h"
 
@@ -40,6 +42,7 @@
   // Key prefix of the platform's VM list in the store.
   std::string m_vm_prefix;
   VmDecoder m_decode_vm;
+  ZoneFeedOptions m_zones;
   // Maximum number of VMs with a long-polling call; each call uses a file
   // descriptor.
   std::size_t m_max_long_polls = 2'000;
@@ -90,6 +93,10 @@
         m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs,
                   VmHandlers()) {
     m_advice_queue.AddDaemon(kThisDaemon);
+    if (m_options.m_zones.Enabled()) {
+      m_zone_feed.emplace(store, loop, m_core, m_options.m_zones,
+                          [this] { SchedulePump(); });
+    }
     m_log.OnSuperseded([this] { Superseded(); });
   }
 
@@ -102,6 +109,9 @@
     m_last_renewal_ms = m_started_ms;
     m_log.Load(m_owner.m_revision,
                [this](auto loaded) { OnLoaded(std::move(loaded)); });
+    if (m_zone_feed) {
+      m_zone_feed->Start();
+    }
   }
 
   bool Ready() const { return m_ready; }
@@ -258,6 +268,9 @@
     for (const std::string& key : removed) {
       OnVmRemoved(key);
     }
+    if (m_zone_feed) {
+      m_zone_feed->OnVmsListed();
+    }
     if (!m_ready) {
       m_ready = true;
       Tick();
@@ -524,6 +537,8 @@
   OwnerLog<Store, Loop> m_log;
   VmPoller<Vms, Loop> m_holder;
   PrefixFeed<Store, Loop> m_vm_feed;
+  // Only where the deployment evacuates zones.
+  std::optional<ZoneFeed<Store, Loop>> m_zone_feed;
   AdviceQueue m_advice_queue;
   std::map<std::string, std::string> m_vm_of_key;
   std::map<std::uint64_t, PendingRequest> m_pending_requests;
--- a/Source/Core/cell/pool_capacity.cc
+++ b/Source/Core/cell/pool_capacity.cc
@@ -31,13 +31,14 @@
       vm.m_first_failed_call_ms == 0 &&
       (vm.m_poll_due_ms == 0 || now_ms < vm.m_poll_due_ms + kUnansweredPollMs);
   return vm.m_listed && vm.m_fenced && !vm.m_description.m_draining &&
-         answers && !vm.IsClockOutdated(now_ms);
+         !vm.m_evacuated && answers && !vm.IsClockOutdated(now_ms);
 }
 
 void PoolCapacity::Finish(std::int64_t now_ms) {
   RemoveAvoidedVms(now_ms);
   m_index.reserve(m_slots.size());
   for (std::size_t i = 0; i < m_slots.size(); ++i) {
+    m_slots[i].m_cold = m_slots[i].m_vm->IsCold(now_ms);
     m_fit.Set(i, m_slots[i].m_free);
     m_index.emplace(m_slots[i].VmId(), i);
   }
--- a/Source/Core/cell/pool_capacity.h
+++ b/Source/Core/cell/pool_capacity.h
@@ -24,6 +24,8 @@
 struct Slot {
   VmState* m_vm = nullptr;
   Resources m_free;
+  // To be used after all other VMs; set by Finish.
+  bool m_cold = false;
 
   const std::string& VmId() const { return m_vm->Incarnation().m_id; }
 };
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -211,14 +211,16 @@
              kQuietAroundSuspectMs;
 }
 
-// The quiet VM on which a crash would end the fewest runs, or null.
+// The quiet VM, cold ones last, on which a crash would end the fewest runs; or
+// null.
 Slot* SchedulingPass::QuietSlot(const StepPlacement& step, const Pool& pool,
                                 const std::vector<Slot*>& slots) const {
   Slot* best = nullptr;
   for (Slot* slot : slots) {
     if (step.Fit(*slot) > 0 && IsQuiet(pool, *slot) &&
         (best == nullptr ||
-         slot->m_vm->m_open.size() < best->m_vm->m_open.size())) {
+         std::pair(slot->m_cold, slot->m_vm->m_open.size()) <
+             std::pair(best->m_cold, best->m_vm->m_open.size()))) {
       best = slot;
     }
   }
@@ -244,12 +246,12 @@
   return best;
 }
 
-// Smaller is better: in the preferred rack, then not the VM of the last
-// failure, then the least free CPU (best fit).
-std::tuple<bool, bool, std::int64_t> SchedulingPass::Rank(
+// Smaller is better: not cold, then in the preferred rack, then not the VM of
+// the last failure, then the least free CPU (best fit).
+std::tuple<bool, bool, bool, std::int64_t> SchedulingPass::Rank(
     const StepPlacement& step, const TaskState& task, const Slot& slot) {
   const std::string& rack = step.Spec().m_rack_affinity;
-  return {!rack.empty() && !slot.m_vm->HasLabel(rack),
+  return {slot.m_cold, !rack.empty() && !slot.m_vm->HasLabel(rack),
           task.m_last_failed_vm == slot.VmId(), slot.m_free.m_cpu_millis};
 }
 
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -52,9 +52,8 @@
                                            PoolCapacity& pool);
   static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
                         const std::vector<Slot*>& slots);
-  static std::tuple<bool, bool, std::int64_t> Rank(const StepPlacement& step,
-                                                   const TaskState& task,
-                                                   const Slot& slot);
+  static std::tuple<bool, bool, bool, std::int64_t> Rank(
+      const StepPlacement& step, const TaskState& task, const Slot& slot);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -30,17 +30,23 @@
   return labels.empty() ? "" : labels.back();
 }
 
-// Keeps only the VMs of one rack if that rack fits the whole gang.
+// Keeps only the VMs of one rack if that rack fits the whole gang, without its
+// cold VMs if there is such a rack.
 void PreferOneRack(const std::string& preferred, std::int64_t tasks,
                    std::vector<SlotFit>& fits) {
-  std::map<std::string, std::int64_t> by_rack;
-  for (const auto& [slot, fit] : fits) {
-    by_rack[RackOf(*slot)] += fit;
-  }
   std::string chosen;
-  for (const auto& [rack, total] : by_rack) {
-    if (total >= tasks && (chosen.empty() || rack == preferred)) {
-      chosen = rack;
+  for (const bool with_cold : {false, true}) {
+    std::map<std::string, std::int64_t> by_rack;
+    for (const auto& [slot, fit] : fits) {
+      by_rack[RackOf(*slot)] += with_cold || !slot->m_cold ? fit : 0;
+    }
+    for (const auto& [rack, total] : by_rack) {
+      if (total >= tasks && (chosen.empty() || rack == preferred)) {
+        chosen = rack;
+      }
+    }
+    if (!chosen.empty()) {
+      break;
     }
   }
   if (!chosen.empty()) {
@@ -318,7 +324,8 @@
   ++pool.m_reserving_gangs;
   std::stable_sort(usable.begin(), usable.end(),
                    [](const Slot* a, const Slot* b) {
-                     return a->m_free.m_cpu_millis > b->m_free.m_cpu_millis;
+                     return std::pair(a->m_cold, b->m_free.m_cpu_millis) <
+                            std::pair(b->m_cold, a->m_free.m_cpu_millis);
                    });
   const Resources charge = step.Spec().Charge();
   std::vector<Slot*> too_full;
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -31,6 +31,9 @@
   Resources m_capacity;
   std::vector<std::string> m_labels;
   bool m_draining = false;
+  // The VM has just restarted and is slow for this long from when the entry is
+  // read, in milliseconds; 0 if it is not.
+  std::int64_t m_cold_left_ms = 0;
 
   bool operator==(const VmDescription&) const = default;
 };
@@ -146,6 +149,11 @@
   std::int64_t m_avoid_until_ms = 0;
   std::int64_t m_impaired_until_ms = 0;
   VmPace m_pace = VmPace::kNormal;
+  // Its zone is evacuated: no starts. Invariant: m_description names a zone in
+  // CellCore's set of evacuated zones.
+  bool m_evacuated = false;
+  // Owner's steady clock: the VM is slow until then after a restart.
+  std::int64_t m_cold_until_ms = 0;
 
   const VmIncarnation& Incarnation() const {
     return m_description.m_incarnation;
@@ -175,6 +183,8 @@
   bool IsAvoided(std::int64_t now_ms) const {
     return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
   }
+  // True if starts should prefer other VMs and use this one if there is none.
+  bool IsCold(std::int64_t now_ms) const { return m_cold_until_ms > now_ms; }
 
   bool operator==(const VmState&) const = default;
 };
