--- a/Source/Core/cell/cell_core_zones_test.cc
+++ b/Source/Core/cell/cell_core_zones_test.cc
@@ -506,25 +506,56 @@
   for (const bool is_gang : {false, true}) {
     SCOPED_TRACE(is_gang);
     m_cell = CellHarness();
-    for (int i = 0; i < 160; ++i) {
+    // Without regard to the cold, tasks prefer small VMs and gangs large ones.
+    const Resources small{48'000, 128'000, 0};
+    for (int i = 0; i < 300; ++i) {
       const std::string id = "a-" + std::to_string(i);
-      m_cell.AddVm(id, kVmCapacity).m_description.m_cold_left_ms = 60'000;
+      m_cell.AddVm(id, is_gang ? kVmCapacity : small)
+          .m_description.m_cold_left_ms = 60'000;
       m_cell.List(id);
     }
     for (int i = 0; i < 40; ++i) {
-      m_cell.AddVm("b-" + std::to_string(i), {48'000, 128'000, 0});
+      m_cell.AddVm("b-" + std::to_string(i), is_gang ? small : kVmCapacity);
     }
     m_cell.Run(100);
     QueueRules advised = m_cell.Queue("advised");
     advised.m_needs_advice = true;
-    StepSpec step = CellHarness::Step(4, kHalfVm);
+    StepSpec step = CellHarness::Step(1, kHalfVm);
     step.m_gang = is_gang;
-    m_cell.Submit(m_cell.Job(1, {step}, advised));
-    m_cell.Run(50);
-    ASSERT_FALSE(m_cell.m_asked.empty());
-    EXPECT_EQ(AskedIn("a"), 0U);
-    EXPECT_GT(AskedIn("b"), 0U);
+    // The search for VMs begins at another one for each job.
+    for (int job = 1; job <= 10; ++job) {
+      m_cell.m_asked.clear();
+      m_cell.Submit(m_cell.Job(job, {step}, advised));
+      m_cell.Run(50);
+      ASSERT_FALSE(m_cell.m_asked.empty());
+      EXPECT_EQ(AskedIn("a"), 0U);
+      EXPECT_GT(AskedIn("b"), 0U);
+    }
+  }
+}
+
+// Fails if a waiting gang reserves cold VMs and leaves the others to later
+// tasks.
+TEST_F(ZoneTest, GangsReserveColdVmsLast) {
+  const std::pair<std::string, std::int64_t> busy[] = {
+      {"a-0", 30'000}, {"b-0", 32'000}, {"b-1", 36'000}};
+  int job = 10;
+  for (const auto& [id, cpu] : busy) {
+    AddVmIn(id, kVmCapacity, {id});
+    StepSpec step = CellHarness::Step(1, cpu);
+    step.m_required_label = id;
+    m_cell.Submit(m_cell.Job(++job, {step}));
   }
+  m_cell.Vm("a-0").m_description.m_cold_left_ms = 60'000;
+  m_cell.List("a-0");
+  m_cell.Run(100);
+  ASSERT_EQ(m_cell.m_starts.size(), 3U);
+  m_cell.Submit(m_cell.Job(1, {GangStep(2, kHalfVm)}));
+  m_cell.Run(50);
+  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 20'000)}));
+  m_cell.Run(100);
+  EXPECT_EQ(RunningOn("a-0"), 2U);
+  EXPECT_EQ(StartsIn("b"), 2U);
 }
 
 // Fails if a suspect of a crash is tried on a cold VM while another is quiet.
--- a/Source/Core/cell/zone_feed_test.cc
+++ b/Source/Core/cell/zone_feed_test.cc
@@ -201,9 +201,32 @@
   void Ask(const AdviceRequest&, const AdviceDone&) {}
 };
 
+// A store of which the zones cannot be listed while `m_hides_zones`.
+class ZoneHidingStore : public FakeAsyncStore {
+ public:
+  ZoneHidingStore(FakeStoreState& state, ManualLoop& loop)
+      : FakeAsyncStore(state, loop), m_loop(loop) {}
+
+  void List(const std::string& prefix, const std::string& after,
+            StoreCallback<ItemPage> done) {
+    if (m_hides_zones && prefix == kPrefix) {
+      m_loop.After(5, [done = std::move(done)] {
+        done(Fail(ErrorCode::kUnavailable, "refused"));
+      });
+      return;
+    }
+    FakeAsyncStore::List(prefix, after, std::move(done));
+  }
+
+  bool m_hides_zones = false;
+
+ private:
+  ManualLoop& m_loop;
+};
+
 class ZoneOwnerTest : public testing::Test {
  protected:
-  using Owner = CellOwner<FakeAsyncStore, ManualLoop, AnsweringVms, NoAdvice>;
+  using Owner = CellOwner<ZoneHidingStore, ManualLoop, AnsweringVms, NoAdvice>;
 
   ZoneOwnerTest() : m_store(m_state, m_loop) {
     m_state.Put("vms/vm-a", "a");
@@ -270,7 +293,7 @@
 
   FakeStoreState m_state;
   ManualLoop m_loop;
-  FakeAsyncStore m_store;
+  ZoneHidingStore m_store;
   AnsweringVms m_vms{m_loop, {}};
   NoAdvice m_advice;
   std::unique_ptr<Owner> m_owner;
@@ -300,6 +323,40 @@
   EXPECT_EQ(StartsOn("vm-a"), 1U);
 }
 
+// Fails if an owner starts anything before it has read the zones once, or does
+// not accept jobs, or starts nothing after it has read them.
+TEST_F(ZoneOwnerTest, NothingStartsBeforeTheZonesAreRead) {
+  m_state.Put(std::string(kPrefix) + "a", "{}");
+  m_store.m_hides_zones = true;
+  TakeOver();
+  Run(500);
+  Submit(2);
+  Run(10'000);
+  EXPECT_EQ(m_accepted, 1);
+  EXPECT_TRUE(m_vms.m_starts.empty());
+  m_store.m_hides_zones = false;
+  Run(1'000);
+  EXPECT_EQ(StartsOn("vm-a"), 0U);
+  EXPECT_EQ(StartsOn("vm-b"), 1U);
+}
+
+// Fails if the last known zones do not apply, or starts elsewhere wait, while
+// the zones cannot be read any more.
+TEST_F(ZoneOwnerTest, LastKnownZonesApplyWhileTheyCannotBeRead) {
+  m_state.Put(std::string(kPrefix) + "a", "{}");
+  TakeOver();
+  Run(500);
+  m_store.m_hides_zones = true;
+  m_state.DropHistory();
+  m_state.Put("other", "");
+  m_state.DropHistory();
+  Run(5'000);
+  Submit(2);
+  Run(1'000);
+  EXPECT_EQ(StartsOn("vm-a"), 0U);
+  EXPECT_EQ(StartsOn("vm-b"), 1U);
+}
+
 // Fails if the zones are read, and so billed, where no deployment evacuates
 // zones, or if such an owner waits for them.
 TEST_F(ZoneOwnerTest, WithoutTheSettingNothingIsWatched) {
