--- a/Source/Core/cell/pool_capacity.h
+++ b/Source/Core/cell/pool_capacity.h
@@ -28,6 +28,8 @@
   // around the mean, more for faster VMs (speed_choice.h).
   double m_speed = 1;
   int m_speed_class = 0;
+  // To be used after all other VMs; set by Finish.
+  bool m_cold = false;
 
   const std::string& VmId() const { return m_vm->Incarnation().m_id; }
 };
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -54,6 +54,7 @@
             std::uint32_t index, std::uint32_t run);
 
   // --- Independent tasks ---
+  using SlotRank = std::tuple<bool, bool, bool, int, std::int64_t>;
   void PlaceTasks(const ReadyStep& ready, Pool& pool);
   std::int64_t StartTasks(StepPlacement& step, Pool& pool,
                           std::int64_t waiting);
@@ -61,8 +62,8 @@
                                            PoolCapacity& pool);
   static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
                         const std::vector<Slot*>& slots);
-  static std::tuple<bool, bool, int, std::int64_t> Rank(
-      const StepPlacement& step, const TaskState& task, const Slot& slot);
+  static SlotRank Rank(const StepPlacement& step, const TaskState& task,
+                       const Slot& slot);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
