HTTP server with a request reader of its own and a budget for clients

Cause: evhttp goes on reading pipelined requests while an answer is unread, has no limit on the line of a chunk's size, and passes no hook to check a head before its body is read.

Change: EventHttpServer keeps its interface and reads requests with HttpRequestReader (no I/O, limits on head and body, 400 for ambiguous lengths, 413, 431, 501). A connection reads nothing while its request is handled or its answer has not left. ClientBudget counts bytes and connections over all servers of a process; when one is used up, the client address that holds the most loses a connection.

The daemon does not state a budget yet.

--- a/Source/Core/transport/event_http.cc
+++ b/Source/Core/transport/event_http.cc
@@ -1,4 +1,4 @@
-// evhttp behind the interface of event_http.h.
+// The client: evhttp behind the interface of event_http.h.
 #include "transport/event_http.h"
 
 #include <absl/strings/ascii.h>
@@ -12,7 +12,6 @@
 #include <cstring>
 #include <deque>
 #include <set>
-#include <stdexcept>
 
 #include "common/callback_guard.h"
 #include "transport/socket_util.h"
@@ -37,21 +36,6 @@
   return EVHTTP_REQ_GET;
 }
 
-std::string MethodName(evhttp_cmd_type method) {
-  switch (method) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    default:
-      return "OTHER";
-  }
-}
-
 // ": " and the end of the line.
 constexpr std::size_t kHeaderLineBytes = 4;
 
@@ -75,8 +59,6 @@
 
 }  // namespace
 
-// --- Client ---
-
 class EventHttpClient::Implementation {
  public:
   Implementation(Reactor& reactor, EventHttpClientLimits limits)
@@ -330,126 +312,4 @@
 
 std::size_t EventHttpClient::Open() const { return m_implementation->Open(); }
 
-// --- Server ---
-
-class EventHttpServer::Implementation {
- public:
-  Implementation(Reactor& reactor, const Endpoint& endpoint,
-                 EventHttpLimits limits, Handler handler)
-      : m_reactor(reactor), m_handler(std::move(handler)) {
-    m_server = evhttp_new(reactor.Base());
-    Invariant(m_server != nullptr, "evhttp gave no server");
-    evhttp_set_max_headers_size(m_server,
-                                static_cast<ev_ssize_t>(limits.m_header_bytes));
-    evhttp_set_max_body_size(m_server,
-                             static_cast<ev_ssize_t>(limits.m_body_bytes));
-    const timeval idle = ToTimeval(Milliseconds(limits.m_idle_timeout_ms));
-    evhttp_set_timeout_tv(m_server, &idle);
-    evhttp_set_allowed_methods(m_server, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                             EVHTTP_REQ_DELETE |
-                                             EVHTTP_REQ_PUT);
-    evhttp_set_gencb(m_server, &Implementation::OnRequest, this);
-    if (evhttp_bind_socket(m_server, endpoint.m_host.c_str(),
-                           endpoint.m_port) != 0) {
-      evhttp_free(m_server);
-      throw std::runtime_error(fmt::format("cannot listen on {}:{}",
-                                           endpoint.m_host, endpoint.m_port));
-    }
-  }
-
-  ~Implementation() { evhttp_free(m_server); }
-
-  void CloseAfterAnswers() { m_closing = true; }
-  std::size_t InFlight() const { return m_in_flight; }
-
- private:
-  static void OnRequest(evhttp_request* request, void* context) {
-    static_cast<Implementation*>(context)->Handle(request);
-  }
-
-  static void ReadQuery(const char* text, HttpRequest& request) {
-    evkeyvalq fields;
-    if (evhttp_parse_query_str(text, &fields) != 0) {
-      return;
-    }
-    for (const evkeyval* one = fields.tqh_first; one != nullptr;
-         one = one->next.tqe_next) {
-      request.m_query[absl::AsciiStrToLower(one->key)] = one->value;
-    }
-    evhttp_clear_headers(&fields);
-  }
-
-  void Handle(evhttp_request* raw) {
-    HttpRequest request;
-    request.m_method = MethodName(evhttp_request_get_command(raw));
-    const char* target = evhttp_request_get_uri(raw);
-    // The path stays percent-encoded.
-    request.m_path = target == nullptr ? "" : target;
-    const std::size_t question =
-        std::min(request.m_path.find('?'), request.m_path.size());
-    if (question < request.m_path.size()) {
-      ReadQuery(request.m_path.c_str() + question + 1, request);
-    }
-    request.m_path.erase(question);
-    evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-    for (const evkeyval* one = headers->tqh_first; one != nullptr;
-         one = one->next.tqe_next) {
-      request.m_headers[absl::AsciiStrToLower(one->key)] = one->value;
-    }
-    request.m_body = TakeBody(evhttp_request_get_input_buffer(raw));
-    m_reactor.Traffic().OnReceived(
-        TrafficPurpose::kCaller,
-        request.m_path.size() + request.m_body.size() + HeaderBytes(*headers));
-    ++m_in_flight;
-    const ScopedTimer timer(
-        m_reactor.Traffic().Handling(TrafficPurpose::kCaller));
-    m_handler(std::move(request),
-              m_guard.Wrap([this, raw](const HttpResponse& reply) {
-                --m_in_flight;
-                Send(raw, reply);
-              }));
-  }
-
-  void Send(evhttp_request* raw, const HttpResponse& reply) {
-    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
-    if (!reply.m_body.empty() && reply.m_headers.count("content-type") == 0) {
-      evhttp_add_header(headers, "Content-Type", "application/json");
-    }
-    for (const auto& [name, value] : reply.m_headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
-    }
-    if (m_closing && reply.m_headers.count("Connection") == 0) {
-      evhttp_add_header(headers, "Connection", "close");
-    }
-    m_reactor.Traffic().OnSent(TrafficPurpose::kCaller,
-                               reply.m_body.size() + HeaderBytes(*headers));
-    evbuffer* body = evbuffer_new();
-    evbuffer_add(body, reply.m_body.data(), reply.m_body.size());
-    // Frees the request, also if its connection is gone.
-    evhttp_send_reply(raw, reply.m_status, nullptr, body);
-    evbuffer_free(body);
-  }
-
-  Reactor& m_reactor;
-  Handler m_handler;
-  CallbackGuard m_guard;
-  evhttp* m_server = nullptr;
-  bool m_closing = false;
-  std::size_t m_in_flight = 0;
-};
-
-EventHttpServer::EventHttpServer(Reactor& reactor, const Endpoint& endpoint,
-                                 EventHttpLimits limits, Handler handler)
-    : m_implementation(std::make_unique<Implementation>(
-          reactor, endpoint, limits, std::move(handler))) {}
-EventHttpServer::~EventHttpServer() = default;
-
-void EventHttpServer::CloseAfterAnswers() {
-  m_implementation->CloseAfterAnswers();
-}
-
-std::size_t EventHttpServer::InFlight() const {
-  return m_implementation->InFlight();
-}
-
 }  // namespace mustardslip
--- a/Source/Core/transport/event_http.h
+++ b/Source/Core/transport/event_http.h
@@ -1,4 +1,4 @@
-// HTTP/1.1 client and server on a Reactor (libevent's evhttp).
+// HTTP/1.1 client (libevent's evhttp) and server on a Reactor.
 //
 // Nothing blocks and nothing is sent twice: a call that fails is reported, and
 // the caller decides.
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "common/result.h"
+#include "transport/client_budget.h"
 #include "transport/http_client.h"
 #include "transport/http_message.h"
 #include "transport/reactor.h"
@@ -54,26 +55,41 @@
   std::unique_ptr<Implementation> m_implementation;
 };
 
+// What one connection may send, and how long it may take.
 struct EventHttpLimits {
   std::size_t m_header_bytes = 16'384;
   std::size_t m_body_bytes = 1U << 20U;
+  // From the first byte of a request to the end of its headers.
+  std::int64_t m_header_timeout_ms = 10'000;
+  // Without a byte in either direction, unless a request is being handled.
   std::int64_t m_idle_timeout_ms = 60'000;
+
+  bool operator==(const EventHttpLimits&) const = default;
 };
 
+// Reads one request of a connection at a time: no byte of the next one is read
+// until the answer has left. So a connection holds at most one request and its
+// answer. A request over a limit, or one whose end is not certain, is answered
+// (400, 413, 431, 501) and its connection closed without reading more.
 class EventHttpServer {
  public:
   using Respond = std::function<void(HttpResponse)>;
   // `respond` may be called later, on the reactor, exactly once.
   using Handler = std::function<void(HttpRequest, Respond respond)>;
 
-  // Throws std::runtime_error if the address cannot be bound.
+  // Throws std::runtime_error if the address cannot be bound. `budget` is
+  // shared by the servers of a process and outlives them; without one, only the
+  // limits of each connection apply.
   EventHttpServer(Reactor& reactor, const Endpoint& endpoint,
-                  EventHttpLimits limits, Handler handler);
+                  EventHttpLimits limits, Handler handler,
+                  ClientBudget* budget = nullptr);
   ~EventHttpServer();
 
   EventHttpServer(const EventHttpServer&) = delete;
   EventHttpServer& operator=(const EventHttpServer&) = delete;
 
+  // Sets the limits of the requests that begin from now on.
+  void SetLimits(const EventHttpLimits& limits);
   // Answers carry "Connection: close" from now on.
   void CloseAfterAnswers();
   // Requests that were read and are not answered yet.
--- a/Source/Core/transport/http_status.h
+++ b/Source/Core/transport/http_status.h
@@ -16,7 +16,9 @@
   static constexpr int kMisdirectedRequest = 421;
   static constexpr int kUnprocessable = 422;
   static constexpr int kTooManyRequests = 429;
+  static constexpr int kHeadersTooLarge = 431;
   static constexpr int kServerError = 500;
+  static constexpr int kNotImplemented = 501;
   static constexpr int kServiceUnavailable = 503;
   static constexpr int kGatewayTimeout = 504;
 };
