Deadlines of callers' requests leave no timers behind

Cause: CellEntry set two timers for each request, which stayed until the request's time was over, up to 30 s, although it was answered at once.

Change: DeadlineQueue keeps deadlines that can be removed, with one timer for the earliest.

A new case of cell_test counts the timers of 10,000 answered requests.

--- a/Source/Core/cell/cell_entry.h
+++ b/Source/Core/cell/cell_entry.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "cell/cell_request.h"
+#include "cell/deadline_queue.h"
 #include "cell/timer_loop.h"
 #include "common/callback_guard.h"
 #include "common/logger.h"
@@ -27,7 +28,9 @@
   using LocalOwner = std::function<void(CellRequest, AnswerDone)>;
   using SendToOwner = std::function<void(const LinkMessage&)>;
 
-  explicit CellEntry(Loop& loop) : m_loop(loop) {}
+  explicit CellEntry(Loop& loop)
+      : m_loop(loop),
+        m_deadlines(loop, [this](std::uint64_t number) { OnDue(number); }) {}
 
   CellEntry(const CellEntry&) = delete;
   CellEntry& operator=(const CellEntry&) = delete;
@@ -80,15 +83,14 @@
   // ends at once.
   void Handle(CellRequest request, std::int64_t wait_ms, AnswerDone done) {
     const std::uint64_t number = ++m_last_number;
-    m_open[number] = {std::move(request), std::move(done), false};
-    m_loop.After(wait_ms * kWaitForOwnerPercent / 100,
-                 m_guard.Wrap([this, number] {
-                   if (!Connected()) {
-                     Expire(number);
-                   }
-                 }));
-    m_loop.After(std::max<std::int64_t>(1, wait_ms),
-                 m_guard.Wrap([this, number] { Expire(number); }));
+    OpenRequest& open = m_open[number];
+    open.m_request = std::move(request);
+    open.m_done = std::move(done);
+    const std::int64_t now_ms = m_loop.Now().m_steady_ms;
+    open.m_owner_wait_ends_ms = now_ms + wait_ms * kWaitForOwnerPercent / 100;
+    open.m_ends_ms = now_ms + std::max<std::int64_t>(1, wait_ms);
+    m_deadlines.Add(open.m_owner_wait_ends_ms, number);
+    m_deadlines.Add(open.m_ends_ms, number);
     if (m_isolated) {
       Expire(number);
       return;
@@ -103,6 +105,8 @@
     }
     const OpenRequest open = std::move(found->second);
     m_open.erase(found);
+    m_deadlines.Remove(open.m_owner_wait_ends_ms, number);
+    m_deadlines.Remove(open.m_ends_ms, number);
     open.m_done(std::move(answer));
   }
 
@@ -111,8 +115,20 @@
     CellRequest m_request;
     AnswerDone m_done;
     bool m_sent = false;
+    // When the request ends if there is no owner, and when it ends in any case;
+    // times of the steady clock.
+    std::int64_t m_owner_wait_ends_ms = 0;
+    std::int64_t m_ends_ms = 0;
   };
 
+  void OnDue(std::uint64_t number) {
+    const auto found = m_open.find(number);
+    if (found != m_open.end() &&
+        (!Connected() || m_loop.Now().m_steady_ms >= found->second.m_ends_ms)) {
+      Expire(number);
+    }
+  }
+
   std::vector<std::uint64_t> OpenNumbers() const {
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, open] : m_open) {
@@ -177,6 +193,8 @@
   std::uint64_t m_epoch = 0;
   bool m_isolated = false;
   std::map<std::uint64_t, OpenRequest> m_open;
+  // Both deadlines of each open request.
+  DeadlineQueue<Loop> m_deadlines;
   std::uint64_t m_last_number = 0;
 };
 
--- a/Source/Core/cell/cell_entry_test.cc
+++ b/Source/Core/cell/cell_entry_test.cc
@@ -98,5 +98,53 @@
   EXPECT_EQ((*answer)->m_phase, JobPhase::kRunning);
 }
 
+// Fails if a request that nobody answers ends late or never.
+TEST_F(CellEntryTest, UnansweredRequestEndsAfterItsWait) {
+  Connect();
+  const auto answer = Send();
+  m_loop.Run(kWaitMs - 1);
+  EXPECT_FALSE(answer->has_value());
+  m_loop.Run(1);
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->m_outcome, CellOutcome::kUnknown);
+  const auto without_owner = Send();
+  m_entry.ClearOwner();
+  m_loop.Run(kWaitMs / 2);
+  EXPECT_TRUE(without_owner->has_value());
+}
+
+// Counts the timers that were set.
+class CountingLoop {
+ public:
+  CellTime Now() const { return m_loop.Now(); }
+  void After(std::int64_t ms, std::function<void()> task) {
+    ++m_timers;
+    m_loop.After(ms, std::move(task));
+  }
+
+  ManualLoop m_loop;
+  std::size_t m_timers = 0;
+};
+
+// Fails if each request leaves timers behind until its wait is over: at a
+// client's full rate they filled the memory of a daemon.
+TEST(CellEntryTimersTest, AnsweredRequestsLeaveNoTimers) {
+  constexpr std::uint64_t kRequests = 10'000;
+  CountingLoop loop;
+  CellEntry<CountingLoop> entry(loop);
+  std::uint64_t last = 0;
+  entry.SetOwnerLink(
+      [&last](const LinkMessage& message) { last = message.m_number; });
+  std::uint64_t answered = 0;
+  for (std::uint64_t i = 0; i < kRequests; ++i) {
+    // Waits that get shorter each time.
+    entry.Handle({}, 30'000 - static_cast<std::int64_t>(i),
+                 [&answered](const CellAnswer&) { ++answered; });
+    entry.OnAnswer(last, {CellOutcome::kAccepted});
+  }
+  EXPECT_EQ(answered, kRequests);
+  EXPECT_LT(loop.m_timers, kRequests / 10);
+}
+
 }  // namespace
 }  // namespace mustardslip
