--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -47,7 +47,11 @@
       m_traffic(prometheus::BuildGauge()
                     .Name("mustardslip_cell_traffic")
                     .Help("Messages and bytes of this daemon, by purpose")
-                    .Register(m_registry)) {}
+                    .Register(m_registry)),
+      m_client_limits(prometheus::BuildGauge()
+                          .Name("mustardslip_client_limits_met")
+                          .Help("Times that clients met a limit, by limit")
+                          .Register(m_registry)) {}
 
 void CellMetrics::OnAnswer(CellMethod method, CellOutcome outcome,
                            std::int64_t ms) {
@@ -104,6 +108,18 @@
   }
 }
 
+void CellMetrics::UpdateClients(const ClientBudget& budget) {
+  m_values.Add({{"name", "client_bytes"}})
+      .Set(static_cast<double>(budget.Bytes()));
+  m_values.Add({{"name", "client_connections"}})
+      .Set(static_cast<double>(budget.Connections()));
+  for (std::size_t i = 0; i < kClientLimits; ++i) {
+    const auto limit = static_cast<ClientLimit>(i);
+    m_client_limits.Add({{"limit", std::string(ToString(limit))}})
+        .Set(static_cast<double>(budget.Count(limit)));
+  }
+}
+
 std::string CellMetrics::Exposition() const {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/Source/Core/cell/cell_metrics.h
+++ b/Source/Core/cell/cell_metrics.h
@@ -11,6 +11,7 @@
 
 #include "cell/cell_core.h"
 #include "cell/cell_request.h"
+#include "transport/client_budget.h"
 #include "transport/traffic_meter.h"
 
 namespace mustardslip {
@@ -28,6 +29,9 @@
   // Sets the totals of the daemon's messages and bytes by purpose.
   void UpdateTraffic(const TrafficMeter& traffic);
 
+  // Sets what is held for clients, and how often they met each limit.
+  void UpdateClients(const ClientBudget& budget);
+
   // The body of GET /metrics (content type "text/plain; version=0.0.4").
   std::string Exposition() const;
 
@@ -38,6 +42,7 @@
   prometheus::Family<prometheus::Gauge>& m_ends;
   prometheus::Family<prometheus::Gauge>& m_values;
   prometheus::Family<prometheus::Gauge>& m_traffic;
+  prometheus::Family<prometheus::Gauge>& m_client_limits;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -40,6 +40,11 @@
   CellOwnerOptions m_owner;
   // Listening address for links from other daemons.
   Endpoint m_link_address;
+  // Links from other daemons; a further one is closed.
+  std::size_t m_max_peers = 64;
+  // Of them, those that have not said hello: the oldest is closed for a new
+  // one.
+  std::size_t m_max_unknown_peers = 16;
   // Store key of the configuration.
   std::string m_configuration_key;
   ConfigurationDecoder m_decode_configuration;
@@ -397,6 +402,24 @@
     peer.m_last_received_ms = peer.m_accepted_ms;
     peer.m_link =
         std::make_unique<MessageLink>(m_reactor, socket, std::move(handlers));
+    peer.m_link->SetMaxMessageBytes(MessageLink::kMaxGreetingBytes);
+    LimitPeers(number);
+  }
+
+  // Peers are numbered as they are accepted, so the first is the oldest.
+  void LimitPeers(std::uint64_t newest) {
+    std::size_t unknown = 0;
+    std::uint64_t oldest_unknown = newest;
+    for (const auto& [number, peer] : m_peers) {
+      if (!peer.m_hello_received) {
+        ++unknown;
+        oldest_unknown = std::min(oldest_unknown, number);
+      }
+    }
+    if (unknown > m_options.m_max_unknown_peers ||
+        m_peers.size() > m_options.m_max_peers) {
+      RemovePeer(oldest_unknown);
+    }
   }
 
   void RemovePeer(std::uint64_t number) {
@@ -422,6 +445,7 @@
     switch (message->m_kind) {
       case LinkMessageKind::kHello:
         peer.m_hello_received = true;
+        peer.m_link->SetMaxMessageBytes(MessageLink::kMaxMessageBytes);
         peer.m_cpu_millis = message->m_cpu_millis;
         AnswerHello(number, peer);
         break;
--- a/Source/Core/cell/configuration_view.cc
+++ b/Source/Core/cell/configuration_view.cc
@@ -30,9 +30,9 @@
   return *this;
 }
 
-ConfigurationView::Builder& ConfigurationView::Builder::MaxBodyBytes(
-    std::size_t bytes) {
-  m_view.m_max_body_bytes = bytes;
+ConfigurationView::Builder& ConfigurationView::Builder::Limits(
+    const CallerLimits& limits) {
+  m_view.m_caller_limits = limits;
   return *this;
 }
 
--- a/Source/Core/cell/configuration_view.h
+++ b/Source/Core/cell/configuration_view.h
@@ -35,6 +35,16 @@
   bool operator==(const TeamEntry&) const = default;
 };
 
+// Limits of one request and one connection of a caller.
+struct CallerLimits {
+  std::size_t m_header_bytes = 16'384;
+  std::size_t m_body_bytes = 1U << 20U;
+  std::int64_t m_header_timeout_ms = 10'000;
+  std::int64_t m_idle_timeout_ms = 60'000;
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 // An immutable version of the configuration.
 class ConfigurationView {
  public:
@@ -42,7 +52,8 @@
 
   std::int64_t Version() const { return m_rules.m_version; }
   const CellRules& Rules() const { return m_rules; }
-  std::size_t MaxBodyBytes() const { return m_max_body_bytes; }
+  std::size_t MaxBodyBytes() const { return m_caller_limits.m_body_bytes; }
+  const CallerLimits& Limits() const { return m_caller_limits; }
 
   // The queue of the host with the longest matching path prefix, or null.
   const QueueEntry* FindQueue(std::string_view host,
@@ -55,13 +66,13 @@
   // By host, sorted by descending length of the path prefix.
   std::unordered_map<std::string, std::vector<QueueEntry>> m_queues;
   std::unordered_map<std::string, std::string> m_team_of_key;
-  std::size_t m_max_body_bytes = 1U << 20U;
+  CallerLimits m_caller_limits;
 };
 
 class ConfigurationView::Builder {
  public:
   Builder& Version(std::int64_t version);
-  Builder& MaxBodyBytes(std::size_t bytes);
+  Builder& Limits(const CallerLimits& limits);
   Builder& Add(QueueEntry queue);
   Builder& Add(const TeamEntry& team);
   Builder& AddCapacityEnforcingService(std::string service);
--- a/Source/Core/transport/message_link.cc
+++ b/Source/Core/transport/message_link.cc
@@ -9,8 +9,8 @@
 
 #include <cerrno>
 #include <stdexcept>
+#include <utility>
 
-#include "transport/rpc.h"
 #include "transport/socket_util.h"
 
 namespace mustardslip {
@@ -18,6 +18,10 @@
 
 constexpr std::size_t kLengthBytes = 4;
 
+// Several seconds of a narrow link (10 Mbit/s): what waits behind that is past
+// its deadline.
+constexpr std::size_t kMaxUnsentBytes = 8U << 20U;
+
 }  // namespace
 
 MessageLink::MessageLink(Reactor& reactor, const Endpoint& peer,
@@ -32,11 +36,7 @@
                       m_stream, reinterpret_cast<const sockaddr*>(&*address),
                       sizeof(*address)) != 0) {
     // Reported later, as the owner of the link is still being built.
-    m_reactor.After(0, [this, alive = m_alive] {
-      if (*alive) {
-        Close(false);
-      }
-    });
+    CloseLater();
   }
 }
 
@@ -57,8 +57,23 @@
   }
 }
 
+void MessageLink::CloseLater() {
+  m_reactor.After(0, [this, alive = m_alive] {
+    if (*alive) {
+      Close(false);
+    }
+  });
+}
+
+void MessageLink::SetMaxMessageBytes(std::size_t bytes) {
+  m_max_message_bytes = bytes;
+  // More is not read before the message is handled.
+  bufferevent_setwatermark(m_stream, EV_READ, 0, kLengthBytes + bytes);
+}
+
 void MessageLink::Install() {
   Invariant(m_stream != nullptr, "libevent gave no bufferevent");
+  SetMaxMessageBytes(m_max_message_bytes);
   bufferevent_setcb(m_stream, &MessageLink::OnRead, nullptr,
                     &MessageLink::OnEvent, this);
   bufferevent_enable(m_stream, EV_READ | EV_WRITE);
@@ -68,9 +83,15 @@
   if (m_stream == nullptr) {
     return;
   }
+  evbuffer* out = bufferevent_get_output(m_stream);
+  if (evbuffer_get_length(out) > kMaxUnsentBytes) {
+    if (!std::exchange(m_closing, true)) {
+      CloseLater();
+    }
+    return;
+  }
   const std::string bytes = EncodeMessage(message);
   const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size()));
-  evbuffer* out = bufferevent_get_output(m_stream);
   evbuffer_add(out, &length, kLengthBytes);
   evbuffer_add(out, bytes.data(), bytes.size());
   m_reactor.Traffic().OnSent(PurposeOf(message), kLengthBytes + bytes.size());
@@ -90,7 +111,7 @@
       return;
     }
     length = ntohl(length);
-    if (length > kMaxRpcMessageBytes) {
+    if (length > m_max_message_bytes) {
       Close(false);
       return;
     }
--- a/Source/Core/transport/message_link.h
+++ b/Source/Core/transport/message_link.h
@@ -40,12 +40,25 @@
   MessageLink(const MessageLink&) = delete;
   MessageLink& operator=(const MessageLink&) = delete;
 
+  // Closes the link, soon, if the peer does not read: the messages that wait
+  // for it are limited.
   void Send(const RpcMessage& message);
 
+  // The largest message that is received; the link closes when a larger one is
+  // announced, before it is read.
+  void SetMaxMessageBytes(std::size_t bytes);
+
+  // Limit of a peer that has not said who it is.
+  static constexpr std::size_t kMaxGreetingBytes = 4'096;
+  // Default limit: a request for advice on a step names up to all VMs of a
+  // service, which takes 140 kB at 7,000.
+  static constexpr std::size_t kMaxMessageBytes = 1U << 20U;
+
  private:
   static void OnRead(bufferevent*, void* context);
   static void OnEvent(bufferevent*, short events, void* context);  // NOLINT
   void Install();
+  void CloseLater();
   void ReadMessages();
   void Close(bool refused);
   TrafficPurpose PurposeOf(const RpcMessage& message) const;
@@ -53,6 +66,8 @@
   Reactor& m_reactor;
   Handlers m_handlers;
   bufferevent* m_stream = nullptr;
+  std::size_t m_max_message_bytes = kMaxMessageBytes;
+  bool m_closing = false;
   std::shared_ptr<bool> m_alive;
 };
 
