--- a/Source/Core/transport/client_budget_test.cc
+++ b/Source/Core/transport/client_budget_test.cc
@@ -200,7 +200,7 @@
            {"Transfer-Encoding: gzip", 400},
            {"X: " + std::string(600, 'x'), 431}}) {
     Client client(m_peer);
-    client.Send("POST / HTTP/1.1\r\n" + headers + "\r\n\r\n" + next);
+    client.Send(fmt::format("POST / HTTP/1.1\r\n{}\r\n\r\n{}", headers, next));
     RunUntilClosed(client);
     EXPECT_TRUE(
         client.m_received.starts_with(fmt::format("HTTP/1.1 {} ", status)))
@@ -315,7 +315,7 @@
       "POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
       "3\r\nabc\r\n0\r\n\r\n";
   for (int i = 0; i < kInputs; ++i) {
-    std::string input = request + request + request;
+    std::string input = fmt::format("{0}{0}{0}", request);
     for (int k = 0; k < 3; ++k) {
       input[random() % input.size()] = static_cast<char>(random());
     }
--- a/Source/Core/transport/http_request_reader_test.cc
+++ b/Source/Core/transport/http_request_reader_test.cc
@@ -50,7 +50,7 @@
       Post("Connection: close, x\r\n", ""),
       "\r\n\r\nDELETE /j HTTP/1.1\nHost:h\n\n",
       "PUT * HTTP/1.1\r\n: v\r\n\r\n",
-      "GET /\0 HTTP/1.1\r\n\r\n",
+      std::string("GET /") + '\0' + " HTTP/1.1\r\n\r\n",
   };
   return corpus;
 }
@@ -147,7 +147,7 @@
   const auto below = [&](std::size_t limit) {
     return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
   };
-  static const std::vector<std::string> kPieces = {
+  static const std::vector<std::string> pieces = {
       "\r\n",
       "\n",
       "\r",
@@ -175,7 +175,7 @@
         text.erase(place, 1 + below(8));
         break;
       case 2:
-        text.insert(place, kPieces[below(kPieces.size())]);
+        text.insert(place, pieces[below(pieces.size())]);
         break;
       case 3:
         text += Corpus()[below(Corpus().size())];
