--- a/Source/Core/cell/cell_core_speeds.cc
+++ b/Source/Core/cell/cell_core_speeds.cc
@@ -8,17 +8,17 @@
 
 StepTraits TraitsOf(const Job& job, const StepSpec& spec) {
   return {job.m_spec.m_queue.m_service, job.m_spec.m_queue.m_name,
-          spec.m_estimate_ms, spec.m_count};
+          spec.m_estimate_ms, spec.m_count, spec.m_gang};
 }
 
 StepRef StepOf(const TaskRef& task) {
   return {task.m_job, task.m_occurrence, task.m_step};
 }
 
-// Members of a gang may wait for each other while they work, a long-lived task
-// has no end, and one on idle processors is as fast as the others leave it.
+// A long-lived task has no end, and one on idle processors is as fast as the
+// others leave it.
 bool TellsSpeed(const StepSpec& spec) {
-  return !spec.m_gang && !spec.m_long_lived && !spec.m_uses_idle_cpu;
+  return !spec.m_long_lived && !spec.m_uses_idle_cpu;
 }
 
 }  // namespace
@@ -43,7 +43,7 @@
     const StepSpec& spec = job.m_spec.m_steps[end.m_task.m_step];
     // A later run may have resumed from a checkpoint.
     const bool whole = !spec.m_checkpoint || end.m_run == 1;
-    if (!TellsSpeed(spec) || !whole) {
+    if (!TellsSpeed(spec) || spec.m_gang || !whole) {
       continue;
     }
     run->m_speed_settled = true;
--- a/Source/Core/cell/speed_choice.cc
+++ b/Source/Core/cell/speed_choice.cc
@@ -6,20 +6,24 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 
 #include "cell/vm_speed.h"
 
 namespace mustardslip {
 namespace {
 
-// Speeds within a step of 15 % are alike: best fit decides among them, and the
-// error of an estimate from about ten runs does not.
-const double kClassWidth = std::log(1.15);
+// VMs of like speed are one class, so that best fit decides among them and the
+// error of an estimate does not: it is about half of the width for an average
+// VM with eight runs.
+const double kClassWidth = std::log(1.25);
 // Fast VMs are scarce with less than this share of their capacity free.
 constexpr double kScarceShare = 0.2;
 // A step has slack for a slow VM if it is this many times what its task takes
 // longer there: declared times are rough.
 constexpr double kSlackFactor = 2;
+// Steps of this priority always take the fastest.
+constexpr std::int64_t kMostUrgentPriority = 0;
 
 }  // namespace
 
@@ -51,12 +55,13 @@
 SpeedWish SpeedWishOf(const ReadyStep& step, const PoolCapacity& pool,
                       std::int64_t now_unix_ms) {
   SpeedWish wish;
-  if (!pool.FastVmsAreScarce() || !step.m_state->m_ready_order ||
-      step.Spec().m_long_lived) {
+  const std::optional<ReadyOrder>& order = step.m_state->m_ready_order;
+  if (!pool.FastVmsAreScarce() || !order ||
+      order->m_priority <= kMostUrgentPriority || step.Spec().m_long_lived) {
     return wish;
   }
-  const auto slack = static_cast<double>(
-      step.m_state->m_ready_order->m_latest_start_unix_ms - now_unix_ms);
+  const auto slack =
+      static_cast<double>(order->m_latest_start_unix_ms - now_unix_ms);
   const auto run_ms = static_cast<double>(step.Spec().m_estimate_ms);
   if (slack <= 0 || run_ms <= 0) {
     return wish;
--- a/Source/Core/cell/speed_choice.h
+++ b/Source/Core/cell/speed_choice.h
@@ -17,9 +17,9 @@
 // Requires Finish().
 void SetSpeeds(const VmSpeeds* speeds, PoolCapacity& pool);
 
-// The fastest first. While the fast VMs are scarce, a step whose objective
-// leaves time for it prefers the slowest VMs that are fast enough, so that the
-// others remain for steps without slack.
+// The fastest first. While the fast VMs are scarce, a step that is not urgent
+// and whose objective leaves time for it prefers the slowest VMs that are fast
+// enough, so that the others remain for steps without slack.
 SpeedWish SpeedWishOf(const ReadyStep& step, const PoolCapacity& pool,
                       std::int64_t now_unix_ms);
 
--- a/Source/Core/cell/vm_speed.cc
+++ b/Source/Core/cell/vm_speed.cc
@@ -41,6 +41,9 @@
 // if they started together.
 constexpr double kBatchRuns = kMaxFactor - 1;
 constexpr std::int64_t kBatchMarginMs = 500;
+// Members of a gang whose rates differ by less than this are taken to have one
+// rate for all: rounding makes a difference of a tenth.
+constexpr double kMinGangSpread = 1.2;
 constexpr double kReportedFactor = 1.25;
 
 double Median(std::vector<double> values) {
@@ -178,8 +181,18 @@
   return reference;
 }
 
+bool VmSpeeds::TellsSpeed(const Batch& batch) {
+  if (batch.m_runs.empty() || !batch.m_traits.m_gang) {
+    return !batch.m_runs.empty();
+  }
+  const auto [least, most] = std::minmax_element(
+      batch.m_runs.begin(), batch.m_runs.end(),
+      [](const Run& a, const Run& b) { return a.m_log_ms < b.m_log_ms; });
+  return most->m_log_ms - least->m_log_ms >= std::log(kMinGangSpread);
+}
+
 void VmSpeeds::Evaluate(const Batch& batch, std::int64_t now_ms) {
-  if (batch.m_runs.empty()) {
+  if (!TellsSpeed(batch)) {
     return;
   }
   const auto [service, created] =
--- a/Source/Core/cell/vm_speed.h
+++ b/Source/Core/cell/vm_speed.h
@@ -30,6 +30,9 @@
   // The declared time of a task; 0 if there is none.
   std::int64_t m_estimate_ms = 0;
   std::uint32_t m_tasks = 1;
+  // The members of a gang end together, so that only their rates may tell their
+  // speed, and only if each is reported by itself.
+  bool m_gang = false;
 
   bool operator==(const StepTraits&) const = default;
 };
@@ -114,6 +117,7 @@
   const Entry* Find(const VmIncarnation& vm) const;
   double NoiseOf(const Service& service) const;
   Reference ReferenceOf(const Batch& batch, std::int64_t now_ms);
+  static bool TellsSpeed(const Batch& batch);
   void Evaluate(const Batch& batch, std::int64_t now_ms);
   void Learn(const VmIncarnation& vm, const std::string& service,
              double residual, double weight, std::int64_t now_ms);
