--- a/Source/Core/cell/speed_choice.cc
+++ b/Source/Core/cell/speed_choice.cc
@@ -6,20 +6,26 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 
 #include "cell/vm_speed.h"
 
 namespace mustardslip {
 namespace {
 
-// Speeds within a step of 15 % are alike: best fit decides among them, and the
-// error of an estimate from about ten runs does not.
-const double kClassWidth = std::log(1.15);
+// VMs of like speed are one class, so that best fit decides among them and the
+// error of an estimate does not: it is about half of the width for an average
+// VM with eight runs.
+const double kClassWidth = std::log(1.25);
 // Fast VMs are scarce with less than this share of their capacity free.
 constexpr double kScarceShare = 0.2;
 // A step has slack for a slow VM if it is this many times what its task takes
 // longer there: declared times are rough.
 constexpr double kSlackFactor = 2;
+// A cold VM counts as slower than all others.
+constexpr int kColdClass = -100;
+// Steps of this priority always take the fastest.
+constexpr std::int64_t kMostUrgentPriority = 0;
 
 }  // namespace
 
@@ -33,7 +39,9 @@
   for (Slot& slot : pool.Slots()) {
     slot.m_speed = speeds->Of(slot.m_vm->Incarnation());
     slot.m_speed_class =
-        static_cast<int>(std::lround(std::log(slot.m_speed) / kClassWidth));
+        slot.m_cold ? kColdClass
+                    : static_cast<int>(
+                          std::lround(std::log(slot.m_speed) / kClassWidth));
     if (slot.m_speed_class >= 0) {
       fast_total += slot.m_vm->m_description.m_capacity.m_cpu_millis;
       fast_free += std::max<std::int64_t>(0, slot.m_free.m_cpu_millis);
@@ -51,12 +59,13 @@
 SpeedWish SpeedWishOf(const ReadyStep& step, const PoolCapacity& pool,
                       std::int64_t now_unix_ms) {
   SpeedWish wish;
-  if (!pool.FastVmsAreScarce() || !step.m_state->m_ready_order ||
-      step.Spec().m_long_lived) {
+  const std::optional<ReadyOrder>& order = step.m_state->m_ready_order;
+  if (!pool.FastVmsAreScarce() || !order ||
+      order->m_priority <= kMostUrgentPriority || step.Spec().m_long_lived) {
     return wish;
   }
-  const auto slack = static_cast<double>(
-      step.m_state->m_ready_order->m_latest_start_unix_ms - now_unix_ms);
+  const auto slack =
+      static_cast<double>(order->m_latest_start_unix_ms - now_unix_ms);
   const auto run_ms = static_cast<double>(step.Spec().m_estimate_ms);
   if (slack <= 0 || run_ms <= 0) {
     return wish;
