--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -187,6 +187,10 @@
   // Completed share of the work; for a long-running task 100 means that it has
   // finished starting.
   double m_percent = 0;
+  // Over the last half second: for a serving task the tail latency in whole
+  // milliseconds, for any other the CPU in use, in thousandths of a core. 0 if
+  // the VM reports no figure.
+  std::int64_t m_usage_or_latency = 0;
 };
 
 // The end of a run as reported by its VM.
