Count the open runs of a VM by image

The cost of a start beside other images needs to know which images run on a VM without a look at their jobs. RunCharge carries the image, and VmState counts the images of its open runs where it adds and removes their charges, so that the count follows the log like the used capacity.

--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -195,10 +195,9 @@
   ++job.m_open_runs;
   job.m_started = true;
 
-  const RunCharge charge{spec.Charge(), spec.m_long_lived};
-  VmState& vm = FindOrCreateVm(record.m_vm);
-  vm.m_open[{record.m_task, record.m_run}] = charge;
-  vm.m_used.Add(charge);
+  FindOrCreateVm(record.m_vm)
+      .AddRun({record.m_task, record.m_run},
+              {spec.Charge(), spec.m_long_lived, spec.m_image});
   m_team_usage[job.m_spec.m_team].Add({spec.m_resources, spec.m_long_lived});
   m_changed.push_back(record.m_task.m_job);
   // In a snapshot the open runs of an ended job follow its end.
@@ -208,11 +207,7 @@
 void CellState::ApplyOne(const RunEnded& record) {
   VmState& vm = FindOrCreateVm(record.m_vm);
   vm.m_last_end = std::max(vm.m_last_end, record.m_sequence);
-  if (const auto open = vm.m_open.find({record.m_task, record.m_run});
-      open != vm.m_open.end()) {
-    vm.m_used.Remove(open->second);
-    vm.m_open.erase(open);
-  }
+  vm.RemoveRun({record.m_task, record.m_run});
   Job* job = FindJob(record.m_task.m_job);
   if (job == nullptr || FindTask(record.m_task) == nullptr) {
     return;
--- a/Source/Core/cell/vm_state.cc
+++ b/Source/Core/cell/vm_state.cc
@@ -34,4 +34,25 @@
   return runs;
 }
 
+void VmState::AddRun(const RunKey& key, RunCharge charge) {
+  m_used.Add(charge);
+  if (!charge.m_image.empty()) {
+    ++m_images[charge.m_image];
+  }
+  m_open[key] = std::move(charge);
+}
+
+void VmState::RemoveRun(const RunKey& key) {
+  const auto open = m_open.find(key);
+  if (open == m_open.end()) {
+    return;
+  }
+  m_used.Remove(open->second);
+  const auto count = m_images.find(open->second.m_image);
+  if (count != m_images.end() && --count->second == 0) {
+    m_images.erase(count);
+  }
+  m_open.erase(open);
+}
+
 }  // namespace mustardslip
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -63,10 +63,15 @@
   Resources m_amount;
   // The run ends only when it is stopped or fails.
   bool m_long_lived = false;
+  // Empty if the step names none.
+  std::string m_image = {};
 
   bool operator==(const RunCharge&) const = default;
 };
 
+// Number of runs by image, without images that have none.
+using ImageCounts = std::map<std::string, std::uint32_t>;
+
 // Sum of the charges of open runs.
 struct Usage {
   Resources m_total;
@@ -96,7 +101,8 @@
 using RunKey = std::pair<TaskRef, std::uint32_t>;
 
 // One incarnation of a VM. Invariant: m_used is the sum of the charges of the
-// runs in m_open; both are derived from the log.
+// runs in m_open, and m_images counts these runs by image; all are derived from
+// the log.
 struct VmState {
   VmDescription m_description;
   // Named by the platform's list now, and no newer incarnation has reported to
@@ -106,6 +112,7 @@
   bool m_fenced = false;
   Usage m_used;
   std::map<RunKey, RunCharge> m_open;
+  ImageCounts m_images;
   // Charges of runs in the VM's newest list that are not open: they are being
   // stopped.
   Resources m_stray;
@@ -171,6 +178,9 @@
     return now_ms - m_last_answer_ms > kMaxClockAgeMs;
   }
   std::vector<RunKey> OpenRuns() const;
+  void AddRun(const RunKey& key, RunCharge charge);
+  // Does nothing if the run is not open.
+  void RemoveRun(const RunKey& key);
   // True if starts should prefer other VMs.
   bool IsAvoided(std::int64_t now_ms) const {
     return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
