Keep tasks apart that slow each other down on one VM

Tasks contend for more than the capacity that placement counts, and placement did not know which of them hurt each other. ContentionModel compares, for each ordered pair of images, runs that had the neighbor for a whole window with runs that did not, with the VM's speed divided out, and prefers VMs without such a neighbor after the rack and before best fit; gangs sort their VMs by it. It never refuses or delays a start.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -253,6 +253,7 @@
 void CellCore::OnTick(const CellTime& now) {
   ExpireVmLeases(now);
   ReleaseDueOccurrences(now);
+  RefreshContention(now);
   if (now.m_steady_ms >= m_next_stop_check_ms) {
     m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
     RepeatStops(now);
@@ -329,6 +330,7 @@
   ScheduleResult result = m_scheduler.Decide(
       m_state, m_ready, m_rules, now, free_advice_calls, max_start_bytes);
   m_counters.m_vms_examined += result.m_vms_examined;
+  m_counters.m_starts_apart += result.m_starts_apart;
   m_dirty = result.m_more_to_start;
   for (Placement& placement : result.m_placements) {
     Append(RunPlanned{placement.m_task, placement.m_run, placement.m_vm});
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
+#include "cell/contention.h"
 #include "cell/scheduler.h"
 #include "cell/team_rate.h"
 
@@ -49,11 +51,16 @@
   std::uint64_t m_passes = 0;
   // VMs that scheduling passes looked at, each time counted.
   std::uint64_t m_vms_examined = 0;
+  // Starts on another VM than without regard to contention.
+  std::uint64_t m_starts_apart = 0;
 };
 
 class CellCore {
  public:
   explicit CellCore(CellBounds bounds) : m_bounds(bounds) {}
+  // Learns which tasks slow each other down on one VM, and keeps them apart
+  // where there is room.
+  void AvoidContention();
 
   // --- Recovery: Replay each record in order, then call OnRecovered once ---
   void Replay(const LogRecord& record) { m_state.Apply(record); }
@@ -137,6 +144,8 @@
   // Version of the configuration in force; 0 before the first one.
   std::int64_t RulesVersion() const { return m_rules.m_version; }
   const ReadySteps& Ready() const { return m_ready; }
+  // Null unless AvoidContention was called.
+  const ContentionModel* Contention() const { return m_contention.get(); }
 
  private:
   // The following structs are effects that wait until their batch is durable.
@@ -246,6 +255,9 @@
   void RepeatStops(const CellTime& now);
   void OnJobsChanged();
   void ReleaseUnlogged(ScheduleResult result);
+  void ObserveContention(const VmState& vm, const VmReport& report,
+                         const CellTime& now);
+  void RefreshContention(const CellTime& now);
 
   CellBounds m_bounds;
   CellState m_state;
@@ -257,6 +269,8 @@
   bool m_recovered = false;
   // Positions in m_rules.m_queues, by name.
   std::unordered_map<std::string, std::size_t> m_queue_index;
+  // Read by m_scheduler.
+  std::unique_ptr<ContentionModel> m_contention;
   Scheduler m_scheduler;
   TeamRateLimiter m_team_rate_limiter;
   ReadySteps m_ready;
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -60,6 +60,7 @@
   vm->m_seems_gone = false;
   vm->m_last_answer_ms = now.m_steady_ms;
   vm->m_clock.OnAnswer(report.m_vm_ms, now.m_steady_ms);
+  ObserveContention(*vm, report, now);
   ProcessReportedEnds(*vm, report, now);
   ProcessReportedRuns(*vm, report);
   CloseUnlistedRuns(*vm, report, now);
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -307,6 +307,9 @@
   void TakeOver() {
     ++m_owner_fence;
     m_core = std::make_unique<CellCore>(CellBounds{});
+    if (m_avoid_contention) {
+      m_core->AvoidContention();
+    }
     m_core->OnRules(m_rules, Now());
     Recover();
   }
@@ -354,6 +357,7 @@
   std::vector<StopRun> m_stops;
   std::vector<JobFailure> m_failures;
   std::vector<GangDelay> m_gang_delays;
+  std::vector<ContentionChange> m_contention_changes;
   std::vector<AdviceRequest> m_asked;
   bool m_store_up = true;
   // Which VMs the advice service allows.
@@ -367,6 +371,8 @@
   // When a call to an unreachable VM is executed, counted from when it is sent;
   // 0 for never.
   std::int64_t m_late_call_ms = 0;
+  // Whether later owners keep tasks apart that slow each other down.
+  bool m_avoid_contention = false;
   // Starts of a task that was running already.
   std::vector<TaskRef> m_started_twice;
 
@@ -398,6 +404,10 @@
 
   void Execute(const GangDelay& delay) { m_gang_delays.push_back(delay); }
 
+  void Execute(const ContentionChange& change) {
+    m_contention_changes.push_back(change);
+  }
+
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
     SimulatedVm& vm = m_vms.at(start.m_vm.m_id);
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -81,6 +81,10 @@
   set("advice_calls", static_cast<double>(counters.m_asks));
   set("scheduling_passes", static_cast<double>(counters.m_passes));
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
+  if (const ContentionModel* contention = core->Contention()) {
+    set("harmful_pairs", static_cast<double>(contention->HarmfulPairs()));
+    set("starts_apart", static_cast<double>(counters.m_starts_apart));
+  }
   set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
   set("steps_waiting", static_cast<double>(core->Ready().Size()));
   for (const auto& [end, count] : counters.m_ends) {
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -48,6 +48,8 @@
   // How long what was sent still waits for the link, in milliseconds; empty if
   // it never does.
   std::function<std::int64_t()> m_link_backlog_ms;
+  // Keep tasks apart that slow each other down on one VM.
+  bool m_avoid_contention = false;
 };
 
 template <AsyncStore Store, TimerLoop Loop, VmControl Vms,
@@ -89,6 +91,9 @@
                  m_options.m_max_long_polls),
         m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs,
                   VmHandlers()) {
+    if (m_options.m_avoid_contention) {
+      m_core.AvoidContention();
+    }
     m_advice_queue.AddDaemon(kThisDaemon);
     m_log.OnSuperseded([this] { Superseded(); });
   }
@@ -455,6 +460,8 @@
 
   void Execute(const GangDelay& delay) { LogGangDelay(delay); }
 
+  void Execute(const ContentionChange& change) { LogContention(change); }
+
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
     if (found == m_pending_requests.end()) {
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -167,8 +167,22 @@
   bool operator==(const JobFailure&) const = default;
 };
 
+// Runs of one image became known to slow down those of another on the same VM,
+// or no longer are. For the operator's log.
+struct ContentionChange {
+  std::string m_slowed_image;
+  std::string m_by_image;
+  bool m_harmful = false;
+  // How many times as long the work takes.
+  double m_factor = 1;
+  // VMs whose samples the estimate rests on.
+  std::size_t m_samples = 0;
+
+  bool operator==(const ContentionChange&) const = default;
+};
+
 using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller,
-                            JobFailure, GangDelay>;
+                            JobFailure, GangDelay, ContentionChange>;
 
 // --- Events ---
 
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -122,6 +122,15 @@
        {"room", delay.m_room}});
 }
 
+void LogContention(const ContentionChange& change) {
+  Log(LogLevel::kInfo, LogCategory::kCell,
+      change.m_harmful ? "contention_found" : "contention_gone",
+      {{"image", change.m_slowed_image},
+       {"slowed_by", change.m_by_image},
+       {"factor", change.m_factor},
+       {"samples", change.m_samples}});
+}
+
 void LogAdvice(const AdviceAnswer& answer) {
   std::string good;
   for (const AdviceAnswer::Row& row : answer.m_good) {
--- a/Source/Core/cell/decision_log.h
+++ b/Source/Core/cell/decision_log.h
@@ -18,6 +18,8 @@
 void LogJobFailure(const JobFailure& failure, std::int64_t fence);
 // Logs what a gang waited for, or waits for.
 void LogGangDelay(const GangDelay& delay);
+// Logs which images slow each other down, or no longer do, and the evidence.
+void LogContention(const ContentionChange& change);
 // Logs an answer of the advice service.
 void LogAdvice(const AdviceAnswer& answer);
 // Logs a stop whose reason no log record shows; nothing for other stops.
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -16,6 +16,7 @@
 
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
+#include "cell/contention.h"
 #include "cell/ready_steps.h"
 
 namespace mustardslip {
@@ -40,6 +41,8 @@
   std::vector<GangDelay> m_gang_delays;
   // VMs that the pass looked at, each time counted: its work.
   std::uint64_t m_vms_examined = 0;
+  // Starts on another VM than without regard to contention.
+  std::uint64_t m_starts_apart = 0;
   // The pass ended because its starts reached the limit on their bytes.
   bool m_more_to_start = false;
 };
@@ -53,6 +56,11 @@
                         std::size_t free_advice_calls,
                         std::int64_t max_start_bytes = kUnlimitedStartBytes);
 
+  // `model` must outlive the scheduler.
+  void AvoidContention(const ContentionModel* model) { m_contention = model; }
+  // Null if contention is not avoided.
+  const ContentionModel* Contention() const { return m_contention; }
+
   // Updates the moving average of the share of VMs recommended for the queue.
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
   // That share: more than 0, at most 1.
@@ -60,6 +68,7 @@
 
  private:
   std::map<std::string, double> m_good_share;
+  const ContentionModel* m_contention = nullptr;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -38,7 +38,8 @@
       m_rules(rules),
       m_now(now),
       m_free_advice_calls(free_advice_calls),
-      m_start_bytes_left(max_start_bytes) {
+      m_start_bytes_left(max_start_bytes),
+      m_contention(scheduler.Contention()) {
   for (auto& [life, vm] : m_state.Vms()) {
     if (!IsUsable(vm, now.m_steady_ms)) {
       continue;
@@ -126,6 +127,7 @@
       kStartOrderBytes +
       static_cast<std::int64_t>(step.OwningJob().m_spec.m_payload.size());
   m_planned_vms.insert(slot.m_vm);
+  m_contention.OnPlanned(*slot.m_vm, step.Spec().m_image);
   pool.Reserve(slot, step.Spec().Charge());
   step.CountPlaced(slot);
   Resources& planned = m_team_planned[step.OwningJob().m_spec.m_team];
@@ -233,24 +235,43 @@
 
 Slot* SchedulingPass::BestSlot(const StepPlacement& step, const TaskState& task,
                                const std::vector<Slot*>& slots) {
+  Slot* best = FirstInRank(step, task, slots, m_contention);
+  if (m_contention.Matters(step.Spec().m_image) &&
+      best != FirstInRank(step, task, slots, PassContention(nullptr))) {
+    ++m_result.m_starts_apart;
+  }
+  return best;
+}
+
+Slot* SchedulingPass::FirstInRank(const StepPlacement& step,
+                                  const TaskState& task,
+                                  const std::vector<Slot*>& slots,
+                                  const PassContention& contention) {
   Slot* best = nullptr;
+  std::tuple<bool, bool, int, std::int64_t> best_rank;
   for (Slot* slot : slots) {
-    if (step.Fit(*slot) > 0 &&
-        (best == nullptr ||
-         Rank(step, task, *slot) < Rank(step, task, *best))) {
+    if (step.Fit(*slot) <= 0) {
+      continue;
+    }
+    const auto rank = Rank(step, task, *slot, contention);
+    if (best == nullptr || rank < best_rank) {
       best = slot;
+      best_rank = rank;
     }
   }
   return best;
 }
 
 // Smaller is better: in the preferred rack, then not the VM of the last
-// failure, then the least free CPU (best fit).
-std::tuple<bool, bool, std::int64_t> SchedulingPass::Rank(
-    const StepPlacement& step, const TaskState& task, const Slot& slot) {
+// failure, then the least contention, then the least free CPU (best fit).
+std::tuple<bool, bool, int, std::int64_t> SchedulingPass::Rank(
+    const StepPlacement& step, const TaskState& task, const Slot& slot,
+    const PassContention& contention) {
   const std::string& rack = step.Spec().m_rack_affinity;
   return {!rack.empty() && !slot.m_vm->HasLabel(rack),
-          task.m_last_failed_vm == slot.VmId(), slot.m_free.m_cpu_millis};
+          task.m_last_failed_vm == slot.VmId(),
+          contention.CostLevel(*slot.m_vm, step.Spec().m_image),
+          slot.m_free.m_cpu_millis};
 }
 
 bool SchedulingPass::MayRequestAdvice(const StepState& step) const {
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cell/contention.h"
 #include "cell/pool_capacity.h"
 #include "cell/scheduler.h"
 #include "cell/step_placement.h"
@@ -50,11 +51,14 @@
                           std::int64_t waiting);
   static std::vector<Slot*> StartableSlots(const StepPlacement& step,
                                            PoolCapacity& pool);
-  static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
-                        const std::vector<Slot*>& slots);
-  static std::tuple<bool, bool, std::int64_t> Rank(const StepPlacement& step,
-                                                   const TaskState& task,
-                                                   const Slot& slot);
+  Slot* BestSlot(const StepPlacement& step, const TaskState& task,
+                 const std::vector<Slot*>& slots);
+  static Slot* FirstInRank(const StepPlacement& step, const TaskState& task,
+                           const std::vector<Slot*>& slots,
+                           const PassContention& contention);
+  static std::tuple<bool, bool, int, std::int64_t> Rank(
+      const StepPlacement& step, const TaskState& task, const Slot& slot,
+      const PassContention& contention);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
@@ -125,6 +129,7 @@
   // By service.
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Resources> m_team_planned;
+  PassContention m_contention;
   // VMs on which this pass plans a start.
   std::set<const VmState*> m_planned_vms;
   // The steps that PlaceOverdueGangs served.
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -279,6 +279,8 @@
     return false;
   }
   SortLargestFirst(fits);
+  m_contention.SortByCost(step.Spec().m_image, fits,
+                          [](const SlotFit& one) { return one.m_slot->m_vm; });
   if (step.Spec().m_same_rack || !step.Spec().m_rack_affinity.empty()) {
     PreferOneRack(step.Spec().m_rack_affinity, tasks, fits);
   }
--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -261,6 +261,7 @@
   void Execute(const ReplyToCaller&) {}
   void Execute(const JobFailure&) {}
   void Execute(const GangDelay&) {}
+  void Execute(const ContentionChange&) {}
 
   CellCore m_core;
   std::int64_t m_now_ms = 1'000;
