--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -28,6 +28,8 @@
   // Percentage of work done, by run.
   std::map<RunKey, double> m_percent;
   double m_percent_per_ms = 0.01;
+  // Reported for each run.
+  std::int64_t m_usage_or_latency = 0;
   std::vector<ReportedEnd> m_ended;
   std::uint64_t m_last_end = 0;
   bool m_reachable = true;
@@ -211,8 +213,11 @@
     for (auto& [id, vm] : m_vms) {
       for (const SimulatedVm::Running& running : vm.m_running) {
         double& percent = vm.m_percent[{running.m_task, running.m_run}];
-        percent = std::min(kAlmostDone, percent + vm.m_percent_per_ms *
-                                                      static_cast<double>(ms));
+        // A test may have set the whole share.
+        percent = std::max(
+            percent,
+            std::min(kAlmostDone,
+                     percent + vm.m_percent_per_ms * static_cast<double>(ms)));
       }
     }
   }
@@ -259,7 +264,8 @@
       const auto percent = vm.m_percent.find({running.m_task, running.m_run});
       report.m_running.push_back(
           {running.m_task, running.m_run, "",
-           percent == vm.m_percent.end() ? 0 : percent->second});
+           percent == vm.m_percent.end() ? 0 : percent->second,
+           vm.m_usage_or_latency});
     }
     report.m_ended = vm.m_ended;
     return report;
--- a/Source/Core/cell/contention_placement_test.cc
+++ b/Source/Core/cell/contention_placement_test.cc
@@ -227,5 +227,38 @@
   EXPECT_EQ(m_cell.Core().Contention()->HarmfulPairs(), 1U);
 }
 
+// Fails if the latency that a VM reports for a serving task is not used, or if
+// the CPU in use of another task passes for a latency.
+TEST_F(ContentionPlacementTest, LearnsFromTheLatencyOfServingTasks) {
+  AvoidContention();
+  for (int i = 0; i < kVms; ++i) {
+    StepSpec serving = StepOn(i, "serving");
+    serving.m_long_lived = true;
+    serving.m_target_latency_ms = 50;
+    StepSpec other = StepOn(i, "other");
+    other.m_long_lived = true;
+    std::vector<StepSpec> steps{serving, other};
+    if (i % 2 == 0) {
+      steps.push_back(StepOn(i, "batch"));
+    }
+    m_cell.Submit(m_cell.Job(1 + i, steps));
+  }
+  m_cell.Run(100);
+  for (int i = 0; i < kVms; ++i) {
+    SimulatedVm& vm = m_cell.Vm(Vm(i));
+    vm.m_usage_or_latency = i % 2 == 0 ? 60 : 30;
+    vm.m_percent_per_ms = 0;
+    for (const SimulatedVm::Running& run : vm.m_running) {
+      if (run.m_task.m_step < 2) {
+        vm.m_percent[{run.m_task, run.m_run}] = RunProgress::kWholePercent;
+      }
+    }
+  }
+  m_cell.Run(3'000);
+  ASSERT_EQ(m_cell.m_contention_changes.size(), 1U);
+  EXPECT_EQ(m_cell.m_contention_changes[0].m_slowed_image, "serving");
+  EXPECT_EQ(m_cell.m_contention_changes[0].m_by_image, "batch");
+}
+
 }  // namespace
 }  // namespace mustardslip
