--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -22,6 +22,14 @@
 
 }  // namespace
 
+CellCore::CellCore(CellBounds bounds, CellFeatures features)
+    : m_bounds(bounds),
+      m_features(features),
+      m_contention(features.m_avoid_contention
+                       ? std::make_unique<ContentionModel>()
+                       : nullptr),
+      m_scheduler(features, m_contention.get()) {}
+
 std::string ToString(const StepRef& step) {
   return fmt::format("{}.{}.{}", step.m_job, step.m_occurrence, step.m_step);
 }
@@ -254,6 +262,7 @@
   ExpireVmLeases(now);
   ReleaseDueOccurrences(now);
   RefreshSpeeds(now);
+  RefreshContention(now);
   if (now.m_steady_ms >= m_next_stop_check_ms) {
     m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
     RepeatStops(now);
@@ -332,6 +341,7 @@
       m_scheduler.Decide(m_state, m_ready, m_rules, now, free_advice_calls,
                          max_start_bytes, PlacementSpeeds());
   m_counters.m_vms_examined += result.m_vms_examined;
+  m_counters.m_starts_apart += result.m_starts_apart;
   m_dirty = result.m_more_to_start;
   for (const RunKey& key : result.m_preemptions) {
     Preempt(key, now);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
+#include "cell/contention.h"
 #include "cell/scheduler.h"
 #include "cell/team_rate.h"
 #include "cell/vm_speed.h"
@@ -52,6 +54,8 @@
   std::uint64_t m_passes = 0;
   // VMs that scheduling passes looked at, each time counted.
   std::uint64_t m_vms_examined = 0;
+  // Starts on another VM than without regard to contention.
+  std::uint64_t m_starts_apart = 0;
 };
 
 // The VMs of a zone and the runs on them.
@@ -68,8 +72,7 @@
 
 class CellCore {
  public:
-  explicit CellCore(CellBounds bounds, CellFeatures features = {})
-      : m_bounds(bounds), m_features(features), m_scheduler(features) {}
+  explicit CellCore(CellBounds bounds, CellFeatures features = {});
 
   // --- Recovery: Replay each record in order, then call OnRecovered once ---
   void Replay(const LogRecord& record) { m_state.Apply(record); }
@@ -169,6 +172,8 @@
   std::int64_t RulesVersion() const { return m_rules.m_version; }
   const ReadySteps& Ready() const { return m_ready; }
   const VmSpeeds& Speeds() const { return m_speeds; }
+  // Null unless contention is avoided.
+  const ContentionModel* Contention() const { return m_contention.get(); }
 
  private:
   // The following structs are effects that wait until their batch is durable.
@@ -294,6 +299,9 @@
   void OnJobsChanged();
   void Preempt(const RunKey& key, const CellTime& now);
   void ReleaseUnlogged(ScheduleResult result);
+  void ObserveContention(const VmState& vm, const VmReport& report,
+                         const CellTime& now);
+  void RefreshContention(const CellTime& now);
 
   CellBounds m_bounds;
   const CellFeatures m_features;
@@ -306,6 +314,8 @@
   bool m_recovered = false;
   // Positions in m_rules.m_queues, by name.
   std::unordered_map<std::string, std::size_t> m_queue_index;
+  // Read by m_scheduler.
+  std::unique_ptr<ContentionModel> m_contention;
   Scheduler m_scheduler;
   VmSpeeds m_speeds;
   std::int64_t m_next_speed_refresh_ms = 0;
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -28,6 +28,8 @@
   // Percentage of work done, by run.
   std::map<RunKey, double> m_percent;
   double m_percent_per_ms = 0.01;
+  // Reported for each run.
+  std::int64_t m_usage_or_latency = 0;
   std::vector<ReportedEnd> m_ended;
   std::uint64_t m_last_end = 0;
   bool m_reachable = true;
@@ -213,8 +215,11 @@
     for (auto& [id, vm] : m_vms) {
       for (const SimulatedVm::Running& running : vm.m_running) {
         double& percent = vm.m_percent[{running.m_task, running.m_run}];
-        percent = std::min(kAlmostDone, percent + vm.m_percent_per_ms *
-                                                      static_cast<double>(ms));
+        // A test may have set the whole share.
+        percent = std::max(
+            percent,
+            std::min(kAlmostDone,
+                     percent + vm.m_percent_per_ms * static_cast<double>(ms)));
       }
     }
   }
@@ -261,7 +266,8 @@
       const auto percent = vm.m_percent.find({running.m_task, running.m_run});
       report.m_running.push_back(
           {running.m_task, running.m_run, "",
-           percent == vm.m_percent.end() ? 0 : percent->second});
+           percent == vm.m_percent.end() ? 0 : percent->second,
+           vm.m_usage_or_latency});
     }
     report.m_ended = vm.m_ended;
     return report;
@@ -357,6 +363,7 @@
   std::vector<JobFailure> m_failures;
   std::vector<GangDelay> m_gang_delays;
   std::vector<VmSpeedChange> m_speed_changes;
+  std::vector<ContentionChange> m_contention_changes;
   std::vector<AdviceRequest> m_asked;
   bool m_store_up = true;
   // Which VMs the advice service allows.
@@ -404,6 +411,9 @@
   void Execute(const VmSpeedChange& change) {
     m_speed_changes.push_back(change);
   }
+  void Execute(const ContentionChange& change) {
+    m_contention_changes.push_back(change);
+  }
 
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -88,6 +88,10 @@
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
   set("vm_speeds_known", static_cast<double>(core->Speeds().Size()));
   set("vm_speed_changes", static_cast<double>(core->Speeds().Changes()));
+  if (const ContentionModel* contention = core->Contention()) {
+    set("harmful_pairs", static_cast<double>(contention->HarmfulPairs()));
+    set("starts_apart", static_cast<double>(counters.m_starts_apart));
+  }
   set("jobs_active", static_cast<double>(core->State().ActiveJobs().size()));
   set("steps_waiting", static_cast<double>(core->Ready().Size()));
   set("zones_evacuated", static_cast<double>(core->EvacuatedZones().size()));
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -470,6 +470,7 @@
   void Execute(const GangDelay& delay) { LogGangDelay(delay); }
 
   void Execute(const VmSpeedChange& change) { LogVmSpeed(change); }
+  void Execute(const ContentionChange& change) { LogContention(change); }
 
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -63,6 +63,9 @@
   bool m_place_by_speed = false;
   // A gang may have less urgent tasks stopped that resume from a checkpoint.
   bool m_preemption = false;
+  // Learns which tasks slow each other down on one VM, and keeps them apart
+  // where there is room.
+  bool m_avoid_contention = false;
 
   bool operator==(const CellFeatures&) const = default;
 };
@@ -191,8 +194,23 @@
   bool operator==(const VmSpeedChange&) const = default;
 };
 
-using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller,
-                            JobFailure, GangDelay, VmSpeedChange>;
+// Runs of one image became known to slow down those of another on the same VM,
+// or no longer are. For the operator's log.
+struct ContentionChange {
+  std::string m_slowed_image;
+  std::string m_by_image;
+  bool m_harmful = false;
+  // How many times as long the work takes.
+  double m_factor = 1;
+  // VMs whose samples the estimate rests on.
+  std::size_t m_samples = 0;
+
+  bool operator==(const ContentionChange&) const = default;
+};
+
+using Effect =
+    std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller, JobFailure,
+                 GangDelay, VmSpeedChange, ContentionChange>;
 
 // --- Events ---
 
@@ -211,6 +229,10 @@
   // Completed share of the work; for a long-running task 100 means that it has
   // finished starting.
   double m_percent = 0;
+  // Over the last half second: for a serving task the tail latency in whole
+  // milliseconds, for any other the CPU in use, in thousandths of a core. 0 if
+  // the VM reports no figure.
+  std::int64_t m_usage_or_latency = 0;
 };
 
 // The end of a run as reported by its VM.
--- a/Source/Core/cell/decision_log.h
+++ b/Source/Core/cell/decision_log.h
@@ -20,6 +20,8 @@
 void LogGangDelay(const GangDelay& delay);
 // Logs the new estimate of a VM's speed and the former one.
 void LogVmSpeed(const VmSpeedChange& change);
+// Logs which images slow each other down, or no longer do, and the evidence.
+void LogContention(const ContentionChange& change);
 // Logs an answer of the advice service.
 void LogAdvice(const AdviceAnswer& answer);
 // Logs a stop whose reason no log record shows; nothing for other stops.
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -16,6 +16,7 @@
 
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
+#include "cell/contention.h"
 #include "cell/ready_steps.h"
 
 namespace mustardslip {
@@ -44,6 +45,8 @@
   std::vector<GangDelay> m_gang_delays;
   // VMs that the pass looked at, each time counted: its work.
   std::uint64_t m_vms_examined = 0;
+  // Starts on another VM than without regard to contention.
+  std::uint64_t m_starts_apart = 0;
   // The pass ended because its starts reached the limit on their bytes.
   bool m_more_to_start = false;
 };
@@ -55,7 +58,10 @@
 
 class Scheduler {
  public:
-  explicit Scheduler(CellFeatures features = {}) : m_features(features) {}
+  // `contention`: null if it is not avoided; must outlive the scheduler.
+  explicit Scheduler(CellFeatures features = {},
+                     const ContentionModel* contention = nullptr)
+      : m_features(features), m_contention(contention) {}
 
   const CellFeatures& Features() const { return m_features; }
 
@@ -69,6 +75,9 @@
                         const VmSpeeds* speeds = nullptr,
                         PassKind kind = PassKind::kPlan);
 
+  // Null if contention is not avoided.
+  const ContentionModel* Contention() const { return m_contention; }
+
   // Updates the moving average of the share of VMs recommended for the queue.
   void OnAdvice(const std::string& queue, std::size_t asked, std::size_t good);
   // That share: more than 0, at most 1.
@@ -81,6 +90,7 @@
   const CellFeatures m_features;
   std::vector<StepRef> m_reserving_gangs;
   std::map<std::string, double> m_good_share;
+  const ContentionModel* const m_contention;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cell/contention.h"
 #include "cell/pool_capacity.h"
 #include "cell/preemption.h"
 #include "cell/scheduler.h"
@@ -54,16 +55,19 @@
             std::uint32_t index, std::uint32_t run);
 
   // --- Independent tasks ---
-  using SlotRank = std::tuple<bool, bool, bool, int, std::int64_t>;
+  using SlotRank = std::tuple<bool, bool, bool, int, int, std::int64_t>;
   void PlaceTasks(const ReadyStep& ready, Pool& pool);
   std::int64_t StartTasks(StepPlacement& step, Pool& pool,
                           std::int64_t waiting);
   static std::vector<Slot*> StartableSlots(const StepPlacement& step,
                                            PoolCapacity& pool);
-  static Slot* BestSlot(const StepPlacement& step, const TaskState& task,
-                        const std::vector<Slot*>& slots);
+  Slot* BestSlot(const StepPlacement& step, const TaskState& task,
+                 const std::vector<Slot*>& slots);
+  static Slot* FirstInRank(const StepPlacement& step, const TaskState& task,
+                           const std::vector<Slot*>& slots,
+                           const PassContention& contention);
   static SlotRank Rank(const StepPlacement& step, const TaskState& task,
-                       const Slot& slot);
+                       const Slot& slot, const PassContention& contention);
 
   // --- Suspects of crashes ---
   bool IsQuiet(const Pool& pool, const Slot& slot) const;
@@ -151,6 +155,7 @@
   // By service.
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Resources> m_team_planned;
+  PassContention m_contention;
   // VMs on which this pass plans a start.
   std::set<const VmState*> m_planned_vms;
   // The gangs that had their turn before the others.
--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -275,6 +275,7 @@
   void Execute(const JobFailure&) {}
   void Execute(const GangDelay&) {}
   void Execute(const VmSpeedChange&) {}
+  void Execute(const ContentionChange&) {}
 
   CellCore m_core;
   std::int64_t m_now_ms = 1'000;
