Record by when the runs of a VM that does not answer have ended

Cause: each new owner waited for an unreachable VM for 14.4 s (24.5 s for a young one) from its own recovery, although nobody had called the VM since.

Change: an owner that gets no answer from a VM with open runs appends VmUnreachable with its own bound in Unix time and sends the VM no deadline until VmReachable is durable. A later owner waits until the smaller of its own bound and the recorded time plus 5 s. The bounds of leases move from cell_core_incarnations.cc to cell_core_lease_bounds.cc with the new handlers.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -252,6 +252,7 @@
 
 void CellCore::OnTick(const CellTime& now) {
   ExpireVmLeases(now);
+  RecordUnreachableVms(now);
   ReleaseDueOccurrences(now);
   if (now.m_steady_ms >= m_next_stop_check_ms) {
     m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -161,8 +161,14 @@
     std::string m_job;
     ReplyToCaller m_reply;
   };
-  using DeferredEffect = std::variant<PlannedStart, PublishPhase, ReleaseEnds,
-                                      StopJob, DeferredReply, JobFailure>;
+  // Deadlines may be sent to the VM again, if this is its newest VmReachable.
+  struct AllowDeadlines {
+    std::string m_vm;
+    std::uint64_t m_number = 0;
+  };
+  using DeferredEffect =
+      std::variant<PlannedStart, PublishPhase, ReleaseEnds, StopJob,
+                   DeferredReply, JobFailure, AllowDeadlines>;
 
   struct Batch {
     std::vector<LogRecord> m_records;
@@ -223,9 +229,17 @@
   std::int64_t LongestLeaseMs() const;
   std::int64_t FormerCallMs() const;
   std::int64_t FirstLeaseMs(const VmState& vm, const CellTime& now);
+  std::int64_t EarlierOwnersLeaseEndMs(const VmState& vm);
+  std::int64_t FormerCallsLeaseEndMs(const VmState& vm) const;
+  std::int64_t LeaseEndMs(const VmState& vm);
   bool EarlierOwnersLeaseMayLast(const VmState& vm, const CellTime& now);
   bool FormerCallsLeaseMayLast(const VmState& vm, const CellTime& now) const;
   bool LeaseMayLast(const VmState& vm, const CellTime& now);
+  void RecordUnreachableVms(const CellTime& now);
+  void RecordUnreachable(const std::vector<VmState*>& lives,
+                         const CellTime& now);
+  void RecordReachable(VmState& vm);
+  void OnReachableDurable(const AllowDeadlines& allow);
   bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
                                 const CellTime& now);
   void MarkRunsLost(VmState& vm, const CellTime& now);
@@ -272,6 +286,9 @@
   // (owner's steady clock). Kept while such a call may give a lease to the next
   // one.
   std::map<VmIncarnation, std::int64_t> m_deadline_calls;
+  // By VM: the number of its newest VmReachable that is not durable yet.
+  std::map<std::string, std::uint64_t> m_reachable_records;
+  std::uint64_t m_last_reachable_record = 0;
   // Suspects of VMs whose lease expired before it was known whether they
   // crashed, as crashes to confirm.
   std::map<VmIncarnation, std::vector<CrashSuspicion>> m_lost_suspects;
--- a/Source/Core/cell/cell_core_incarnations.cc
+++ b/Source/Core/cell/cell_core_incarnations.cc
@@ -1,5 +1,6 @@
-// CellCore: which incarnations of VMs exist, how long their leases may last,
-// and what becomes of their runs when they end.
+// CellCore: which incarnations of VMs exist, and what becomes of their runs
+// when they or their leases end. How long a lease may last is in
+// cell_core_lease_bounds.cc.
 #include <algorithm>
 
 #include "cell/cell_core.h"
@@ -7,23 +8,9 @@
 namespace mustardslip {
 namespace {
 
-// Time between the computed end of a lease and the end of the VM's runs.
-constexpr std::int64_t kLeaseExpirySlackMs = 300;
 // How long ends of a VM that is not listed any more are waited for. Ends that
 // it reports later are processed again, each failure counted once.
 constexpr std::int64_t kAwaitUnlistedVmMs = 60'000;
-// A call without an answer may be executed this much later.
-constexpr std::int64_t kLateCallMs = 5'000;
-// How long after its start a VM may execute calls to the incarnation before it.
-constexpr std::int64_t kFormerCallsMs = kMaxClockAgeMs + kLateCallMs;
-// The times of day of a VM and the owner may differ by a jump of some seconds.
-constexpr std::int64_t kClockDifferenceMs = 5'000;
-
-// Real time that a lease of this length may last on a clock that is 2 % slow.
-constexpr std::int64_t OnSlowClock(std::int64_t ms) {
-  constexpr std::int64_t kSlowClockDivisor = 50;
-  return ms + ms / kSlowClockDivisor;
-}
 
 }  // namespace
 
@@ -52,24 +39,6 @@
   }
 }
 
-std::optional<std::int64_t> CellCore::NextLease(VmState& vm,
-                                                const CellTime& now) {
-  if (!vm.m_clock.Known() || vm.m_first_failed_call_ms != 0 ||
-      vm.IsClockOutdated(now.m_steady_ms)) {
-    return std::nullopt;
-  }
-  const std::int64_t length = std::min(kVmLeaseMs, m_bounds.m_max_lease_ms);
-  const std::int64_t deadline =
-      vm.m_clock.LowerBoundMs(now.m_steady_ms) + length;
-  vm.m_lease_until_vm_ms = std::max(vm.m_lease_until_vm_ms, deadline);
-  NoteDeadlineCall(vm, now);
-  return deadline;
-}
-
-void CellCore::NoteDeadlineCall(const VmState& vm, const CellTime& now) {
-  m_deadline_calls[vm.Incarnation()] = now.m_steady_ms;
-}
-
 void CellCore::OnOtherIncarnation(const VmIncarnation& asked,
                                   const VmReport& report, const CellTime& now) {
   OnVmCallFailed(asked, VmCallFailure::kNoAnswer, now);
@@ -145,7 +114,7 @@
 // True if nothing has to be known of the VM any more. Ends that it has not
 // discarded are waited for: it may only be cut off from the VM list.
 bool CellCore::IsForgettable(VmState& vm, const CellTime& now) {
-  if (vm.m_listed || !vm.m_open.empty()) {
+  if (vm.m_listed || !vm.m_open.empty() || vm.HasLeaseBound()) {
     vm.m_unused_since_ms = 0;
     return false;
   }
@@ -182,86 +151,6 @@
   }
 }
 
-// Drops the calls that FormerCallsLeaseMayLast does not count any more.
-void CellCore::ForgetDeadlineCalls(const CellTime& now) {
-  std::erase_if(m_deadline_calls, [&](const auto& call) {
-    return now.m_steady_ms - call.second > FormerCallMs();
-  });
-}
-
-std::int64_t CellCore::LongestLeaseMs() const {
-  return std::max(kVmLeaseMs, m_bounds.m_max_lease_ms);
-}
-
-// How long after a call that was meant for its former incarnation a VM may hold
-// its runs because of it.
-std::int64_t CellCore::FormerCallMs() const {
-  return kLateCallMs + OnSlowClock(LongestLeaseMs()) + kLeaseExpirySlackMs;
-}
-
-// How long a VM may hold its runs, counted from when it first answers this
-// owner and so refuses the calls of earlier ones. Calls with a deadline on the
-// clock of a former incarnation may have given it the longest lease, if it was
-// young enough when they arrived; its own clock tells nothing of its age.
-std::int64_t CellCore::FirstLeaseMs(const VmState& vm, const CellTime& now) {
-  const VmIncarnation& life = vm.Incarnation();
-  if (m_state.IncarnationsOf(life.m_id).front() != &vm) {
-    return LongestLeaseMs();
-  }
-  if (life.m_born == 0) {
-    return kVmLeaseMs;
-  }
-  const std::int64_t age_ms = now.m_unix_ms - life.m_born;
-  return std::clamp(
-      kFormerCallsMs + kClockDifferenceMs + LongestLeaseMs() - age_ms,
-      kVmLeaseMs, LongestLeaseMs());
-}
-
-// For a VM that has not answered this owner, so that earlier ones may have
-// called it until they lost the store.
-bool CellCore::EarlierOwnersLeaseMayLast(const VmState& vm,
-                                         const CellTime& now) {
-  const std::int64_t first_ms = FirstLeaseMs(vm, m_recovered_at);
-  // A deadline on the VM's own clock does not move when the call is late.
-  const std::int64_t late_ms = first_ms > kVmLeaseMs ? kLateCallMs : 0;
-  return now.m_steady_ms - m_recovered_at.m_steady_ms <=
-         kRenewWithoutStoreMs + late_ms + OnSlowClock(first_ms) +
-             kLeaseExpirySlackMs;
-}
-
-// For calls of this owner that were meant for earlier incarnations of the VM:
-// those underway may still give it the longest lease.
-bool CellCore::FormerCallsLeaseMayLast(const VmState& vm,
-                                       const CellTime& now) const {
-  const VmIncarnation& life = vm.Incarnation();
-  return std::any_of(m_deadline_calls.lower_bound({life.m_id, INT64_MIN}),
-                     m_deadline_calls.lower_bound(life), [&](const auto& call) {
-                       return now.m_steady_ms - call.second <= FormerCallMs();
-                     });
-}
-
-// False if everything on the VM has certainly ended unless it has answered.
-bool CellCore::LeaseMayLast(const VmState& vm, const CellTime& now) {
-  const bool granted = vm.m_clock.Known()
-                           ? vm.m_clock.LowerBoundMs(now.m_steady_ms) <=
-                                 vm.m_lease_until_vm_ms + kLeaseExpirySlackMs
-                           : EarlierOwnersLeaseMayLast(vm, now);
-  return granted || FormerCallsLeaseMayLast(vm, now);
-}
-
-// True if the run's start may have reached a newer incarnation, which has not
-// answered yet, and the lease there may last.
-bool CellCore::MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
-                                        const CellTime& now) {
-  const VmState& newest = *m_state.IncarnationsOf(vm.Incarnation().m_id).back();
-  if (run.Listed() || &newest == &vm) {
-    return false;
-  }
-  const bool of_earlier_owner = run.m_start_sent_ms == 0;
-  return FormerCallsLeaseMayLast(newest, now) ||
-         (of_earlier_owner && EarlierOwnersLeaseMayLast(newest, now));
-}
-
 void CellCore::MarkRunsLost(VmState& vm, const CellTime& now) {
   if (vm.HasCrashed()) {
     ConfirmCrashOf(vm, now);
--- a/Source/Core/cell/cell_core_log.cc
+++ b/Source/Core/cell/cell_core_log.cc
@@ -149,6 +149,8 @@
     if (Job* job = m_state.FindJob(stop->m_job)) {
       StopRuns(*job, now);
     }
+  } else if (const auto* allow = std::get_if<AllowDeadlines>(&effect)) {
+    OnReachableDurable(*allow);
   } else if (const auto* failure = std::get_if<JobFailure>(&effect)) {
     m_effects.push_back(*failure);
   } else {
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -43,6 +43,7 @@
   if (vm == nullptr) {
     return;
   }
+  RecordReachable(*vm);
   if (!vm->m_fenced || vm->m_first_failed_call_ms != 0) {
     m_dirty = true;
     ClearSuspects(*vm);
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cell/cell_core.h"
+#include "cell/superseded_owner.h"
 
 namespace mustardslip {
 
@@ -48,6 +49,10 @@
   int m_fence = 0;
   // If false, polls are executed but not answered.
   bool m_answers_polls = true;
+  // Whether an owner that was superseded without knowing it reaches the VM.
+  bool m_reachable_by_former = false;
+  // If false, a new owner does not find the VM in the VM list.
+  bool m_has_entry = true;
 };
 
 // A call that did not reach its VM in time and is executed later.
@@ -193,11 +198,23 @@
       ExecuteLateCalls();
       EndExpiredRuns();
       m_core->OnTick(Now());
+      RunFormerOwner();
       Look();
       Pump();
     }
   }
 
+  // Advances time while nobody owns the cell.
+  void RunWithoutOwner(std::int64_t ms) {
+    constexpr std::int64_t kStepMs = 50;
+    for (std::int64_t passed = 0; passed < ms; passed += kStepMs) {
+      m_now_ms += kStepMs;
+      ExecuteLateCalls();
+      EndExpiredRuns();
+      RunFormerOwner();
+    }
+  }
+
   // Advances time in one step without polling VMs.
   void RunWithoutPolls(std::int64_t ms) {
     m_now_ms += ms;
@@ -229,8 +246,9 @@
     const VmIncarnation actual = vm.m_description.m_incarnation;
     std::vector<VmIncarnation> polled;
     for (const VmState* state : m_core->State().IncarnationsOf(actual.m_id)) {
-      if (state->m_listed || !state->m_open.empty() ||
-          state->HasUnacknowledgedEnds()) {
+      if (!state->m_description.m_address.empty() &&
+          (state->m_listed || !state->m_open.empty() ||
+           state->HasUnacknowledgedEnds())) {
         polled.push_back(state->Incarnation());
       }
     }
@@ -311,7 +329,15 @@
     Recover();
   }
 
-  // The same, but the new owner has not read the configuration yet.
+  // The same, but the former owner goes on, without the store, until a VM tells
+  // it that it was superseded.
+  void Supersede() {
+    m_former = std::make_unique<SupersededOwner>(std::move(m_core),
+                                                 m_owner_fence, Now());
+    TakeOver();
+  }
+
+  // The same as TakeOver, but the new owner has not read the configuration yet.
   void TakeOverWithoutConfiguration() {
     ++m_owner_fence;
     m_core = std::make_unique<CellCore>(CellBounds{});
@@ -380,8 +406,33 @@
     }
     m_core->OnRecovered(Now());
     for (auto& [id, vm] : m_vms) {
-      m_core->OnVmListed(vm.m_description, Now());
+      if (vm.m_has_entry) {
+        m_core->OnVmListed(vm.m_description, Now());
+      }
+    }
+  }
+
+  void RunFormerOwner() {
+    if (m_former == nullptr) {
+      return;
+    }
+    for (auto& [id, vm] : m_vms) {
+      SimulatedVm& called = vm;
+      const auto call = [&](std::optional<std::int64_t> deadline,
+                            bool& refused) -> std::optional<VmReport> {
+        if (!called.m_reachable_by_former) {
+          return std::nullopt;
+        }
+        refused = !Execute(called, {called.m_description.m_incarnation.m_id, 0,
+                                    m_former->Fence(), deadline, std::nullopt});
+        return refused ? std::nullopt : std::optional(Report(called));
+      };
+      if (!m_former->Poll(id, Now(), call)) {
+        m_former.reset();
+        return;
+      }
     }
+    m_former->OnTick(Now());
   }
 
   void ExecuteEffects() {
@@ -524,6 +575,7 @@
   }
 
   std::unique_ptr<CellCore> m_core;
+  std::unique_ptr<SupersededOwner> m_former;
   CellRules m_rules;
   std::int64_t m_now_ms = 1'000;
   std::uint64_t m_token = 0;
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -212,6 +212,7 @@
       open != vm.m_open.end()) {
     vm.m_used.Remove(open->second);
     vm.m_open.erase(open);
+    DropUnusedLeaseBounds(record.m_vm.m_id);
   }
   Job* job = FindJob(record.m_task.m_job);
   if (job == nullptr || FindTask(record.m_task) == nullptr) {
@@ -382,6 +383,27 @@
   }
 }
 
+void CellState::ApplyOne(const VmUnreachable& record) {
+  FindOrCreateVm(record.m_vm).m_runs_ended_by_unix_ms =
+      record.m_runs_ended_by_unix_ms;
+}
+
+void CellState::ApplyOne(const VmReachable& record) {
+  for (VmState* life : IncarnationsOf(record.m_vm.m_id)) {
+    life->m_runs_ended_by_unix_ms = 0;
+  }
+}
+
+void CellState::DropUnusedLeaseBounds(const std::string& id) {
+  const std::vector<VmState*> lives = IncarnationsOf(id);
+  if (std::all_of(lives.begin(), lives.end(),
+                  [](const VmState* life) { return life->m_open.empty(); })) {
+    for (VmState* life : lives) {
+      life->m_runs_ended_by_unix_ms = 0;
+    }
+  }
+}
+
 void CellState::ApplyOne(const JobEnded& record) {
   const auto [found, created] = m_jobs.try_emplace(record.m_job);
   if (!created) {
@@ -455,7 +477,7 @@
 std::vector<const VmState*> CellState::VmsInLog() const {
   std::vector<const VmState*> vms;
   for (const auto& [life, vm] : m_vms) {
-    if (vm.m_last_end > 0 || !vm.m_open.empty()) {
+    if (vm.m_last_end > 0 || !vm.m_open.empty() || vm.HasLeaseBound()) {
       vms.push_back(&vm);
     }
   }
@@ -491,6 +513,9 @@
     if (vm.m_last_end > 0) {
       records.push_back(VmSnapshot{life, vm.m_last_end});
     }
+    if (vm.HasLeaseBound()) {
+      records.push_back(VmUnreachable{life, vm.m_runs_ended_by_unix_ms});
+    }
   }
   return records;
 }
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -103,6 +103,10 @@
   void ApplyOne(const FailedRunSnapshot& record);
   void ApplyOne(const CrashSuspicion& record);
   void ApplyOne(const RulesInForce& record);
+  void ApplyOne(const VmUnreachable& record);
+  void ApplyOne(const VmReachable& record);
+  // Drops the bound of the VM's incarnations once none of them has open runs.
+  void DropUnusedLeaseBounds(const std::string& id);
   static void AppendStepSnapshot(TaskRef ref, const StepState& step,
                                  std::vector<LogRecord>& records,
                                  std::vector<LogRecord>& open);
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -78,6 +78,14 @@
     } else if (const auto* crash = std::get_if<CrashSuspicion>(&record)) {
       crashes[{StepOf(crash->m_task), crash->m_confirmed}].Add(
           crash->m_task, crash->m_run, crash->m_alone ? "alone" : "others");
+    } else if (const auto* silent = std::get_if<VmUnreachable>(&record)) {
+      Log(LogLevel::kWarning, LogCategory::kCell, "vm_unreachable",
+          {{"vm", silent->m_vm.m_id},
+           {"born", silent->m_vm.m_born},
+           {"runs_ended_by_unix_ms", silent->m_runs_ended_by_unix_ms}});
+    } else if (const auto* answers = std::get_if<VmReachable>(&record)) {
+      Log(LogLevel::kInfo, LogCategory::kCell, "vm_reachable",
+          {{"vm", answers->m_vm.m_id}, {"born", answers->m_vm.m_born}});
     }
   }
   for (const auto& [key, runs] : crashes) {
--- a/Source/Core/cell/log_record.cc
+++ b/Source/Core/cell/log_record.cc
@@ -211,6 +211,13 @@
       Write(m_out, queue);
     }
   }
+  void operator()(const VmUnreachable& record) const {
+    Write(m_out, record.m_vm);
+    m_out.Signed(record.m_runs_ended_by_unix_ms);
+  }
+  void operator()(const VmReachable& record) const {
+    Write(m_out, record.m_vm);
+  }
 };
 
 JobAccepted ReadJobAccepted(ByteReader& in) {
@@ -328,6 +335,14 @@
     }
     case 10:
       return ReadRulesInForce(in);
+    case 11: {
+      VmUnreachable record;
+      record.m_vm = ReadVm(in);
+      record.m_runs_ended_by_unix_ms = in.Signed();
+      return record;
+    }
+    case 12:
+      return VmReachable{ReadVm(in)};
     default:
       return Fail(ErrorCode::kInvalidArgument, "unknown_log_record");
   }
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -164,9 +164,27 @@
   bool operator==(const RulesInForce&) const = default;
 };
 
-using LogRecord = std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded,
-                               TaskSnapshot, VmSnapshot, JobProgress, JobEnded,
-                               FailedRunSnapshot, CrashSuspicion, RulesInForce>;
+// The VM does not answer the owner. No deadline is sent to any incarnation of
+// the VM until VmReachable is durable, so that all runs on this incarnation
+// have ended by the given time. Also in snapshots.
+struct VmUnreachable {
+  VmIncarnation m_vm;
+  std::int64_t m_runs_ended_by_unix_ms = 0;
+
+  bool operator==(const VmUnreachable&) const = default;
+};
+
+// This incarnation answered: ends VmUnreachable of all incarnations of the VM.
+struct VmReachable {
+  VmIncarnation m_vm;
+
+  bool operator==(const VmReachable&) const = default;
+};
+
+using LogRecord =
+    std::variant<JobAccepted, JobCancelled, RunPlanned, RunEnded, TaskSnapshot,
+                 VmSnapshot, JobProgress, JobEnded, FailedRunSnapshot,
+                 CrashSuspicion, RulesInForce, VmUnreachable, VmReachable>;
 
 // About the bytes that an accepted job, or a record, takes in a log write.
 // For records without a payload: names of a job, a step and a VM, and numbers.
--- a/Source/Core/cell/pool_capacity.cc
+++ b/Source/Core/cell/pool_capacity.cc
@@ -31,7 +31,7 @@
       vm.m_first_failed_call_ms == 0 &&
       (vm.m_poll_due_ms == 0 || now_ms < vm.m_poll_due_ms + kUnansweredPollMs);
   return vm.m_listed && vm.m_fenced && !vm.m_description.m_draining &&
-         answers && !vm.IsClockOutdated(now_ms);
+         answers && !vm.IsClockOutdated(now_ms) && vm.MayGetDeadline();
 }
 
 void PoolCapacity::Finish(std::int64_t now_ms) {
--- a/Source/Core/cell/vm_poller.h
+++ b/Source/Core/cell/vm_poller.h
@@ -122,7 +122,8 @@
     if (!late && (call.m_open || !MaySend(call, vm, now))) {
       return true;
     }
-    const PollKind kind = NextPollKind(vm, late || !renew);
+    const PollKind kind =
+        NextPollKind(vm, late || !renew || !vm.MayGetDeadline());
     // A retry after a late answer reuses the slot of the first poll.
     if (!late && LimitReached(kind)) {
       return false;
--- a/Source/Core/cell/vm_state.cc
+++ b/Source/Core/cell/vm_state.cc
@@ -20,6 +20,15 @@
   return m_vm_ms + (now_ms - m_at_ms) * kMinRatePercent / kPercent;
 }
 
+std::int64_t VmClock::CertainlyAfterMs(std::int64_t vm_ms) const {
+  constexpr std::int64_t kPercent = 100;
+  // The VM's clock has to advance by this much; rounded up.
+  const std::int64_t advance_ms =
+      std::max<std::int64_t>(vm_ms + 1 - m_vm_ms, 0);
+  return m_at_ms +
+         (advance_ms * kPercent + kMinRatePercent - 1) / kMinRatePercent;
+}
+
 bool VmState::HasLabel(const std::string& label) const {
   const std::vector<std::string>& labels = m_description.m_labels;
   return std::find(labels.begin(), labels.end(), label) != labels.end();
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -46,6 +46,9 @@
   // The earliest time that the VM's clock can show at `now_ms`. Requires
   // Known().
   std::int64_t LowerBoundMs(std::int64_t now_ms) const;
+  // From when on (owner's steady clock) LowerBoundMs is above `vm_ms`. Requires
+  // Known().
+  std::int64_t CertainlyAfterMs(std::int64_t vm_ms) const;
 
   bool operator==(const VmClock&) const = default;
 
@@ -146,6 +149,12 @@
   std::int64_t m_avoid_until_ms = 0;
   std::int64_t m_impaired_until_ms = 0;
   VmPace m_pace = VmPace::kNormal;
+  // By the newest VmUnreachable: all runs have certainly ended by then; 0 if
+  // there is none that counts. Set only while an incarnation of the VM has open
+  // runs.
+  std::int64_t m_runs_ended_by_unix_ms = 0;
+  // A VmReachable of the VM is not durable yet.
+  bool m_awaits_reachable = false;
 
   const VmIncarnation& Incarnation() const {
     return m_description.m_incarnation;
@@ -170,6 +179,11 @@
   bool IsClockOutdated(std::int64_t now_ms) const {
     return now_ms - m_last_answer_ms > kMaxClockAgeMs;
   }
+  bool HasLeaseBound() const { return m_runs_ended_by_unix_ms != 0; }
+  // False if a later owner may rely on it that none is sent.
+  bool MayGetDeadline() const {
+    return !HasLeaseBound() && !m_awaits_reachable;
+  }
   std::vector<RunKey> OpenRuns() const;
   // True if starts should prefer other VMs.
   bool IsAvoided(std::int64_t now_ms) const {
