Record a longer bound for runs that their VM has not listed

Cause: a run that was never listed may be on an incarnation that nobody knows, with the longest lease. A later owner waited long enough for it only by its own bound, which the record shortened.

Change: with such a run the record counts the last call with a deadline as one meant for a former incarnation.

Result: the wait after a change of the owner is as before for these runs.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -238,6 +238,8 @@
   void RecordUnreachableVms(const CellTime& now);
   void RecordUnreachable(const std::vector<VmState*>& lives,
                          const CellTime& now);
+  bool HasUnlistedRuns(const VmState& vm);
+  std::int64_t UnknownIncarnationLeaseEndMs(const VmState& vm) const;
   void RecordReachable(VmState& vm);
   void OnReachableDurable(const AllowDeadlines& allow);
   bool MayRunOnNewerIncarnation(const VmState& vm, const OpenRun& run,
--- a/Source/Core/cell/cell_core_lease_bounds.cc
+++ b/Source/Core/cell/cell_core_lease_bounds.cc
@@ -180,16 +180,37 @@
     return;
   }
   bool has_runs = false;
+  bool unlisted_runs = false;
   for (const VmState* vm : lives) {
     has_runs = has_runs || !vm->m_open.empty();
+    unlisted_runs = unlisted_runs || HasUnlistedRuns(*vm);
     // A record of an earlier owner stays: this owner's own bound is later.
     if (has_runs && !vm->HasLeaseBound()) {
+      const std::int64_t end_ms =
+          std::max(LeaseEndMs(*vm),
+                   unlisted_runs ? UnknownIncarnationLeaseEndMs(*vm) : 0);
       Append(VmUnreachable{vm->Incarnation(),
-                           now.m_unix_ms + LeaseEndMs(*vm) - now.m_steady_ms});
+                           now.m_unix_ms + end_ms - now.m_steady_ms});
     }
   }
 }
 
+// True if runs were sent to this incarnation that it has not listed: the VM may
+// have restarted before, which nobody knows, and have them on the next one.
+bool CellCore::HasUnlistedRuns(const VmState& vm) {
+  return std::any_of(vm.m_open.begin(), vm.m_open.end(), [&](const auto& open) {
+    const OpenRun* run = m_state.FindRun(open.first.first, open.first.second);
+    return run == nullptr || (!run->Listed() && !run->m_awaiting_log);
+  });
+}
+
+// Owner's steady clock, 0 for none: until when an incarnation that nobody knows
+// may hold runs because of this owner's calls to `vm`.
+std::int64_t CellCore::UnknownIncarnationLeaseEndMs(const VmState& vm) const {
+  const auto call = m_deadline_calls.find(vm.Incarnation());
+  return call == m_deadline_calls.end() ? 0 : call->second + FormerCallMs();
+}
+
 // The VM answered as this incarnation.
 void CellCore::RecordReachable(VmState& vm) {
   const std::string& id = vm.Incarnation().m_id;
--- a/Source/Core/cell/lease_bounds_test.cc
+++ b/Source/Core/cell/lease_bounds_test.cc
@@ -219,6 +219,29 @@
   ExpectStartedAgain();
 }
 
+// Fails if the next owner waits shorter than without the record for a run that
+// its VM has not listed: the VM had restarted unnoticed before the start, and
+// its next incarnation held the run for the longest lease.
+TEST_F(LeaseBoundsTest, RunThatWasNotListedMayBeOnAnUnknownIncarnation) {
+  AddNewVm("vm-0", kHourMs);
+  m_cell.Run(30'000);
+  RestartWithClock("vm-0", 0);
+  SubmitLongJob(1);
+  m_cell.Pump();
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  CutOff("vm-0");
+  m_cell.Vm("vm-0").m_has_entry = false;
+  m_cell.Unlist("vm-0");
+  AddNewVm("vm-1", 0);
+  m_cell.Run(100);
+  m_cell.TakeOver();
+  // 14.4 s after the recovery, as without a record.
+  m_cell.Run(14'000);
+  ExpectNotStartedAgain();
+  m_cell.Run(600);
+  ExpectStartedAgain();
+}
+
 // Fails if the next incarnation of a VM gets no deadline because the record of
 // the former one was not ended by its answer.
 TEST_F(LeaseBoundsTest, NextIncarnationEndsTheRecord) {
