Model test of the wait for unreachable VMs, and further cases

Cases: clocks of owners that differ, old logs, the encoding of the records, bounds that end with the last run, polls without a deadline.

--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -74,7 +74,9 @@
     m_core->OnRecovered(Now());
   }
 
-  CellTime Now() const { return {m_now_ms, kUnixStartMs + m_now_ms}; }
+  CellTime Now() const {
+    return {m_now_ms, kUnixStartMs + m_now_ms + m_unix_skew_ms};
+  }
   CellCore& Core() { return *m_core; }
 
   // --- Set-up ---
@@ -390,6 +392,8 @@
   std::vector<LogRecord> m_log;
   // VMs end runs whose lease has expired, and refuse calls with a lower fence.
   bool m_simulate_leases = false;
+  // Error of the current owner's Unix time.
+  std::int64_t m_unix_skew_ms = 0;
   // When a call to an unreachable VM is executed, counted from when it is sent;
   // 0 for never.
   std::int64_t m_late_call_ms = 0;
--- a/Source/Core/cell/lease_bounds_test.cc
+++ b/Source/Core/cell/lease_bounds_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "cell/vm_lease_fixture.h"
 
@@ -242,6 +244,78 @@
   ExpectStartedAgain();
 }
 
+// Fails if the next owner, whose Unix time differs from that of the writer of
+// the record by as much as is allowed, closes the run while it may go on, or
+// waits longer than by its own bound.
+TEST_F(LeaseBoundsTest, ClocksOfOwnersMayDiffer) {
+  for (const std::int64_t skew_ms : {-5'000, 5'000}) {
+    SCOPED_TRACE(skew_ms);
+    m_cell = CellHarness();
+    m_cell.m_simulate_leases = true;
+    ASSERT_NO_FATAL_FAILURE(StartOnVm0(30'000));
+    CutOff("vm-0");
+    m_cell.Run(1'000);
+    m_cell.m_unix_skew_ms = skew_ms;
+    m_cell.TakeOver();
+    m_cell.Run(kVmLeaseMs - 1'000);
+    ExpectNotStartedAgain();
+    m_cell.Run(14'400 + 200 - (kVmLeaseMs - 1'000));
+    ExpectStartedAgain();
+  }
+}
+
+// Fails if a store does not give back what was written, or a new record takes
+// the number of another one: 11 and 12 follow those of earlier versions.
+TEST_F(LeaseBoundsTest, RecordsAreReadAsWritten) {
+  const std::vector<LogRecord> records = {
+      VmUnreachable{{"vm-0", 17}, 1'800'000'000'123}, VmReachable{{"vm-0", 17}},
+      VmUnreachable{{"vm-1", -1}, -5}};
+  EXPECT_EQ(records[0].index(), 11U);
+  EXPECT_EQ(records[1].index(), 12U);
+  const auto read = DecodeRecords(EncodeRecords(records));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(*read, records);
+}
+
+// Fails if an owner keeps the bound of a VM whose runs have all ended: it grew
+// the snapshots by each VM that was lost, and kept its entry for ever.
+TEST_F(LeaseBoundsTest, RecordEndsWithTheLastRun) {
+  ASSERT_NO_FATAL_FAILURE(StartOnVm0(30'000));
+  CutOff("vm-0");
+  m_cell.Vm("vm-0").m_has_entry = false;
+  m_cell.Unlist("vm-0");
+  m_cell.Run(1'000);
+  const auto holds_bound = [&] {
+    for (const LogRecord& record : m_cell.Core().State().Snapshot()) {
+      if (std::holds_alternative<VmUnreachable>(record)) {
+        return true;
+      }
+    }
+    return false;
+  };
+  EXPECT_TRUE(holds_bound());
+  m_cell.Run(kClosedByRecordMs);
+  ExpectStartedAgain();
+  EXPECT_FALSE(holds_bound());
+  EXPECT_EQ(m_cell.Core().State().Vms().size(), 1U);
+}
+
+// Fails if an owner cannot read a log of an earlier version, which has no such
+// records, or waits shorter with it than that version.
+TEST_F(LeaseBoundsTest, LogWithoutRecordsIsWaitedForAsBefore) {
+  ASSERT_NO_FATAL_FAILURE(StartOnVm0(30'000));
+  CutOff("vm-0");
+  m_cell.Run(1'000);
+  std::erase_if(m_cell.m_log, [](const LogRecord& record) {
+    return std::holds_alternative<VmUnreachable>(record);
+  });
+  m_cell.TakeOver();
+  m_cell.Run(14'300);
+  ExpectNotStartedAgain();
+  m_cell.Run(300);
+  ExpectStartedAgain();
+}
+
 // Fails if the next incarnation of a VM gets no deadline because the record of
 // the former one was not ended by its answer.
 TEST_F(LeaseBoundsTest, NextIncarnationEndsTheRecord) {
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -360,5 +360,32 @@
   EXPECT_LT(wait_ms, 600);
 }
 
+// Fails if the polls of a VM end or carry a deadline while a later owner may
+// rely on the record that it is unreachable, or if a long poll, which carries
+// none, is open when the lease may be renewed again.
+TEST_F(VmPollerTest, UnreachableVmIsPolledWithoutADeadline) {
+  OpenLongPoll();
+  m_vms.m_calls[1].m_done(Fail(ErrorCode::kUnavailable, "no_answer"));
+  m_core.OnTick(m_loop.Now());
+  ASSERT_TRUE(m_core.HasOpenBatch());
+  m_core.BeginBatch();
+  m_core.OnDurable(m_loop.Now());
+  Run(300);
+  ASSERT_EQ(m_vms.m_calls.size(), 3U);
+  EXPECT_FALSE(m_vms.m_calls[2].m_order.m_lease_until_vm_ms.has_value());
+  Answer(2, {{m_task, 1, "", 1}});
+  Run(100);
+  ASSERT_EQ(m_vms.m_calls.size(), 4U);
+  EXPECT_FALSE(m_vms.m_calls[3].m_order.m_lease_until_vm_ms.has_value());
+  EXPECT_EQ(m_vms.m_calls[3].m_order.m_wait_ms, 0);
+  ASSERT_TRUE(m_core.HasOpenBatch());
+  m_core.BeginBatch();
+  m_core.OnDurable(m_loop.Now());
+  Answer(3, {{m_task, 1, "", 1}});
+  Run(100);
+  ASSERT_EQ(m_vms.m_calls.size(), 5U);
+  EXPECT_TRUE(m_vms.m_calls[4].m_order.m_lease_until_vm_ms.has_value());
+}
+
 }  // namespace
 }  // namespace mustardslip
