--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -212,7 +212,9 @@
       open != vm.m_open.end()) {
     vm.m_used.Remove(open->second);
     vm.m_open.erase(open);
-    DropUnusedLeaseBounds(record.m_vm.m_id);
+    if (vm.m_open.empty()) {
+      DropUnusedLeaseBounds(record.m_vm.m_id);
+    }
   }
   Job* job = FindJob(record.m_task.m_job);
   if (job == nullptr || FindTask(record.m_task) == nullptr) {
@@ -383,27 +385,6 @@
   }
 }
 
-void CellState::ApplyOne(const VmUnreachable& record) {
-  FindOrCreateVm(record.m_vm).m_runs_ended_by_unix_ms =
-      record.m_runs_ended_by_unix_ms;
-}
-
-void CellState::ApplyOne(const VmReachable& record) {
-  for (VmState* life : IncarnationsOf(record.m_vm.m_id)) {
-    life->m_runs_ended_by_unix_ms = 0;
-  }
-}
-
-void CellState::DropUnusedLeaseBounds(const std::string& id) {
-  const std::vector<VmState*> lives = IncarnationsOf(id);
-  if (std::all_of(lives.begin(), lives.end(),
-                  [](const VmState* life) { return life->m_open.empty(); })) {
-    for (VmState* life : lives) {
-      life->m_runs_ended_by_unix_ms = 0;
-    }
-  }
-}
-
 void CellState::ApplyOne(const JobEnded& record) {
   const auto [found, created] = m_jobs.try_emplace(record.m_job);
   if (!created) {
--- a/Source/Core/cell/lease_bounds_test.cc
+++ b/Source/Core/cell/lease_bounds_test.cc
@@ -182,6 +182,28 @@
   EXPECT_EQ(m_cell.RunningOf(2), 1U);
 }
 
+// Fails if a start that was planned before the record is sent after it, because
+// the VM answers again by then: it extended the lease.
+TEST_F(LeaseBoundsTest, StartPlannedBeforeTheRecordIsNotSentAfterIt) {
+  ASSERT_NO_FATAL_FAILURE(StartOnVm0(30'000));
+  m_cell.Core().OnVmUnlisted("vm-1", m_cell.Now());
+  m_cell.m_store_up = false;
+  SubmitLongJob(2);
+  m_cell.Pump();
+  CutOff("vm-0");
+  m_cell.Run(100);
+  m_cell.Write();
+  m_cell.Vm("vm-0").m_reachable = true;
+  m_cell.Look();
+  m_cell.Core().OnDurable(m_cell.Now());
+  m_cell.Pump();
+  EXPECT_EQ(m_cell.m_starts.size(), 1U);
+  m_cell.m_store_up = true;
+  m_cell.Run(500);
+  EXPECT_EQ(m_cell.RunningOf(1), 1U);
+  EXPECT_EQ(m_cell.RunningOf(2), 1U);
+}
+
 // Fails if a record counts after the VM was recorded as reachable: the next
 // owner closed runs whose lease had been extended since.
 TEST_F(LeaseBoundsTest, RecordEndsWhenTheVmIsReachable) {
