--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -260,6 +260,7 @@
 
 void CellCore::OnTick(const CellTime& now) {
   ExpireVmLeases(now);
+  RecordUnreachableVms(now);
   ReleaseDueOccurrences(now);
   RefreshSpeeds(now);
   RefreshContention(now);
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -207,7 +207,9 @@
 void CellState::ApplyOne(const RunEnded& record) {
   VmState& vm = FindOrCreateVm(record.m_vm);
   vm.m_last_end = std::max(vm.m_last_end, record.m_sequence);
-  vm.RemoveRun({record.m_task, record.m_run});
+  if (vm.RemoveRun({record.m_task, record.m_run}) && vm.m_open.empty()) {
+    DropUnusedLeaseBounds(record.m_vm.m_id);
+  }
   Job* job = FindJob(record.m_task.m_job);
   if (job == nullptr || FindTask(record.m_task) == nullptr) {
     return;
@@ -450,7 +452,7 @@
 std::vector<const VmState*> CellState::VmsInLog() const {
   std::vector<const VmState*> vms;
   for (const auto& [life, vm] : m_vms) {
-    if (vm.m_last_end > 0 || !vm.m_open.empty()) {
+    if (vm.m_last_end > 0 || !vm.m_open.empty() || vm.HasLeaseBound()) {
       vms.push_back(&vm);
     }
   }
@@ -486,6 +488,9 @@
     if (vm.m_last_end > 0) {
       records.push_back(VmSnapshot{life, vm.m_last_end});
     }
+    if (vm.HasLeaseBound()) {
+      records.push_back(VmUnreachable{life, vm.m_runs_ended_by_unix_ms});
+    }
   }
   return records;
 }
--- a/Source/Core/cell/vm_state.h
+++ b/Source/Core/cell/vm_state.h
@@ -49,6 +49,9 @@
   // The earliest time that the VM's clock can show at `now_ms`. Requires
   // Known().
   std::int64_t LowerBoundMs(std::int64_t now_ms) const;
+  // From when on (owner's steady clock) LowerBoundMs is above `vm_ms`. Requires
+  // Known().
+  std::int64_t CertainlyAfterMs(std::int64_t vm_ms) const;
 
   bool operator==(const VmClock&) const = default;
 
@@ -161,6 +164,12 @@
   bool m_evacuated = false;
   // Owner's steady clock: the VM is slow until then after a restart.
   std::int64_t m_cold_until_ms = 0;
+  // By the newest VmUnreachable: all runs have certainly ended by then; 0 if
+  // there is none that counts. Set only while an incarnation of the VM has open
+  // runs.
+  std::int64_t m_runs_ended_by_unix_ms = 0;
+  // A VmReachable of the VM is not durable yet.
+  bool m_awaits_reachable = false;
 
   const VmIncarnation& Incarnation() const {
     return m_description.m_incarnation;
@@ -185,10 +194,15 @@
   bool IsClockOutdated(std::int64_t now_ms) const {
     return now_ms - m_last_answer_ms > kMaxClockAgeMs;
   }
+  bool HasLeaseBound() const { return m_runs_ended_by_unix_ms != 0; }
+  // False if a later owner may rely on it that none is sent.
+  bool MayGetDeadline() const {
+    return !HasLeaseBound() && !m_awaits_reachable;
+  }
   std::vector<RunKey> OpenRuns() const;
   void AddRun(const RunKey& key, RunCharge charge);
-  // Does nothing if the run is not open.
-  void RemoveRun(const RunKey& key);
+  // False if the run is not open.
+  bool RemoveRun(const RunKey& key);
   // True if starts should prefer other VMs.
   bool IsAvoided(std::int64_t now_ms) const {
     return std::max(m_avoid_until_ms, m_impaired_until_ms) > now_ms;
