Model test of zones: no dereference of an end iterator

RC_ASSERT evaluates both sides of an operator, so the test read past the end of a map for jobs that are no gangs; the address sanitizer found it. The condition is computed first now.

--- a/Source/Core/cell/cell_core_zones_test.cc
+++ b/Source/Core/cell/cell_core_zones_test.cc
@@ -606,7 +606,9 @@
     }
     for (const auto& [run, count] : gang_starts) {
       const auto size = gang_size.find(run.first);
-      RC_ASSERT(size == gang_size.end() || count == size->second);
+      // RC_ASSERT evaluates both sides of an operator.
+      const bool whole = size == gang_size.end() || count == size->second;
+      RC_ASSERT(whole);
     }
   };
   QueueRules queue = cell.Queue();
