--- a/Source/Core/cell/lease_bounds_test.cc
+++ b/Source/Core/cell/lease_bounds_test.cc
@@ -204,6 +204,51 @@
   EXPECT_EQ(m_cell.RunningOf(2), 1U);
 }
 
+// Fails if deadlines are sent because an earlier VmReachable is durable, while
+// a later VmUnreachable of the same write still counts for the next owner.
+TEST_F(LeaseBoundsTest, EarlierReachableRecordAllowsNoDeadline) {
+  ASSERT_NO_FATAL_FAILURE(StartOnVm0(30'000));
+  CutOff("vm-0");
+  m_cell.Run(500);
+  m_cell.m_store_up = false;
+  m_cell.Vm("vm-0").m_reachable = true;
+  m_cell.Run(100);
+  CutOff("vm-0");
+  m_cell.Run(100);
+  m_cell.Write();
+  m_cell.Vm("vm-0").m_reachable = true;
+  m_cell.Run(100);
+  m_cell.Core().OnDurable(m_cell.Now());
+  VmState& vm = *m_cell.Core().State().FindListedVm("vm-0");
+  EXPECT_FALSE(m_cell.Core().NextLease(vm, m_cell.Now()).has_value());
+  m_cell.Write();
+  m_cell.Core().OnDurable(m_cell.Now());
+  EXPECT_TRUE(m_cell.Core().NextLease(vm, m_cell.Now()).has_value());
+}
+
+// Fails if the record leaves out calls that were meant for the former
+// incarnation and are still underway: one gave the VM the longest lease, and
+// the next owner started the task a second time beside its run.
+TEST_F(LeaseBoundsTest, RecordCoversLateCallsToTheFormerIncarnation) {
+  m_cell.m_late_call_ms = 4'500;
+  AddNewVm("vm-0", kHourMs);
+  m_cell.Run(30'000);
+  CutOff("vm-0");
+  m_cell.Look();
+  RestartWithClock("vm-0", 0);
+  m_cell.List("vm-0");
+  m_cell.Run(200);
+  SubmitLongJob(1);
+  m_cell.Run(200);
+  ASSERT_EQ(m_cell.RunningOf(1), 1U);
+  CutOff("vm-0");
+  AddNewVm("vm-1", 0);
+  m_cell.Run(500);
+  m_cell.TakeOver();
+  m_cell.Run(30'000);
+  ExpectStartedAgain();
+}
+
 // Fails if a record counts after the VM was recorded as reachable: the next
 // owner closed runs whose lease had been extended since.
 TEST_F(LeaseBoundsTest, RecordEndsWhenTheVmIsReachable) {
