--- a/Source/Core/cell/cell_core_zones_test.cc
+++ b/Source/Core/cell/cell_core_zones_test.cc
@@ -1,98 +1,26 @@
-// Tests of evacuated zones and of VMs that are cold after a restart. The
-// comment of each test names the failure that it guards against.
+// Tests of evacuated zones. The comment of each test names the failure that it
+// guards against.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
-#include "cell/cell_core_fixture.h"
+#include "cell/zone_fixture.h"
 
 namespace mustardslip {
 namespace {
 
-constexpr std::int64_t kHalfVm = 40'000;  // Two of them do not fit on a VM.
-constexpr std::size_t kFreeCalls = 16;
-
-StepSpec GangStep(std::uint32_t count, std::int64_t cpu) {
-  StepSpec gang = CellHarness::Step(count, cpu);
-  gang.m_gang = true;
-  return gang;
-}
-
-class ZoneTest : public CellCoreTest {
- protected:
-  // The zone is the first letter of the id.
-  SimulatedVm& AddVmIn(const std::string& id, Resources capacity = kVmCapacity,
-                       std::vector<std::string> labels = {}) {
-    SimulatedVm& vm = m_cell.AddVm(id, capacity, std::move(labels));
-    vm.m_description.m_zone = id.substr(0, 1);
-    m_cell.List(id);
-    m_cell.Run(100);
-    return vm;
-  }
-  void AddCold(const std::string& id, Resources capacity,
-               std::int64_t cold_left_ms) {
-    AddVmIn(id, capacity).m_description.m_cold_left_ms = cold_left_ms;
-    m_cell.List(id);
-  }
-  void Evacuate(const std::string& zone) {
-    m_cell.Core().OnZoneEvacuated(zone, true);
-  }
-  void Restore(const std::string& zone) {
-    m_cell.Core().OnZoneEvacuated(zone, false);
-  }
-
-  std::size_t StartsIn(const std::string& zone) const {
-    return static_cast<std::size_t>(
-        std::count_if(m_cell.m_starts.begin(), m_cell.m_starts.end(),
-                      [&](const StartRun& start) {
-                        return start.m_vm.m_id.starts_with(zone);
-                      }));
-  }
-  std::size_t RunningOn(const std::string& vm) {
-    return m_cell.Vm(vm).m_running.size();
-  }
-  // VMs named in calls to the advice service whose id has this prefix.
-  std::size_t AskedIn(const std::string& prefix) const {
-    std::size_t count = 0;
-    for (const AdviceRequest& request : m_cell.m_asked) {
-      count += static_cast<std::size_t>(std::count_if(
-          request.m_vms.begin(), request.m_vms.end(),
-          [&](const std::string& id) { return id.starts_with(prefix); }));
-    }
-    return count;
-  }
-  std::uint64_t EndedAs(RunEnd end) {
-    const auto& ends = m_cell.Core().Counters().m_ends;
-    const auto found = ends.find(end);
-    return found == ends.end() ? 0 : found->second;
-  }
-  // Plans the waiting tasks and begins to write the records, which are not
-  // durable yet.
-  void PlanAndWrite() {
-    m_cell.m_store_up = false;
-    m_cell.Pump();
-    ASSERT_TRUE(m_cell.Core().HasOpenBatch());
-    m_cell.Write();
-    m_cell.m_store_up = true;
-  }
-  void FinishWrite() {
-    m_cell.Core().OnDurable(m_cell.Now());
-    m_cell.Pump();
-  }
-};
-
 // Fails if tasks are started in an evacuated zone although others are full, or
 // not started there after the zone is restored.
 TEST_F(ZoneTest, TasksWaitInsteadOfStartingInAnEvacuatedZone) {
   AddVmIn("a-0");
   AddVmIn("b-0");
   Evacuate("a");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kLargeTask)}));
   m_cell.Run(1'000);
   EXPECT_EQ(RunningOn("a-0"), 0U);
   EXPECT_EQ(RunningOn("b-0"), 1U);
@@ -110,7 +38,7 @@
   m_cell.List("c-0");
   Evacuate("a");
   Evacuate("b");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(3, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(3, kLargeTask)}));
   m_cell.Run(500);
   EXPECT_EQ(RunningOn("c-0"), 1U);
   EXPECT_EQ(m_cell.m_starts.size(), 1U);
@@ -127,7 +55,7 @@
   AddVmIn("b-0");
   Evacuate("a");
   Evacuate("b");
-  m_cell.Submit(m_cell.Job(1, {GangStep(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {GangStep(2, kLargeTask)}));
   m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}));
   m_cell.Run(30'000);
   EXPECT_TRUE(m_cell.m_starts.empty());
@@ -148,7 +76,7 @@
   AddVmIn("a-0");
   AddVmIn("b-0").m_description.m_zone = "a";
   m_cell.List("b-0");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kLargeTask)}));
   m_cell.Run(500);
   EXPECT_TRUE(m_cell.m_starts.empty());
   m_cell.Restart("a-0", 2);
@@ -167,7 +95,7 @@
   AddVmIn("a-0");
   Evacuate("A");
   EXPECT_FALSE(m_cell.Core().UseOfZone("A").m_known);
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kLargeTask)}));
   m_cell.Run(200);
   EXPECT_EQ(m_cell.RunningOf(1), 1U);
   EXPECT_EQ(m_cell.Core().EvacuatedVms(), 0U);
@@ -179,7 +107,7 @@
   AddVmIn("a-0");
   AddVmIn("b-0");
   m_cell.Submit(
-      m_cell.Job(1, {CellHarness::Step(2, kHalfVm)}, QueueWithAttempts(1)));
+      m_cell.Job(1, {CellHarness::Step(2, kLargeTask)}, QueueWithAttempts(1)));
   PlanAndWrite();
   Evacuate("a");
   FinishWrite();
@@ -196,7 +124,7 @@
 // Fails if a start that was in the open batch at the evacuation is sent.
 TEST_F(ZoneTest, StartInTheOpenBatchIsNotSent) {
   AddVmIn("a-0");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kLargeTask)}));
   m_cell.m_store_up = false;
   m_cell.Run(500);
   Evacuate("a");
@@ -220,13 +148,14 @@
     AddVmIn("b-0");
     AddVmIn("c-0", kVmCapacity, {"c"});
     AddVmIn("c-1", kVmCapacity, {"c"});
-    StepSpec other = GangStep(2, kHalfVm);
+    StepSpec other = GangStep(2, kLargeTask);
     other.m_required_label = "c";
     m_cell.Submit(m_cell.Job(2, {other}));
     m_cell.Run(50);
     m_cell.End(2, RunEnd::kFailed);
     m_cell.Run(50);
-    m_cell.Submit(m_cell.Job(1, {GangStep(2, kHalfVm)}, QueueWithAttempts(1)));
+    m_cell.Submit(
+        m_cell.Job(1, {GangStep(2, kLargeTask)}, QueueWithAttempts(1)));
     m_cell.m_starts.clear();
     PlanAndWrite();
     Evacuate(zone);
@@ -250,9 +179,9 @@
   m_cell.m_simulate_leases = true;
   AddVmIn("a-0");
   AddVmIn("a-1");
-  StepSpec service = CellHarness::Step(1, kHalfVm);
+  StepSpec service = CellHarness::Step(1, kLargeTask);
   service.m_long_lived = true;
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kLargeTask)}));
   m_cell.Submit(m_cell.Job(2, {service}));
   m_cell.Run(200);
   ASSERT_EQ(m_cell.RunningOf(1) + m_cell.RunningOf(2), 2U);
@@ -271,7 +200,7 @@
 // Fails if a task that failed in the zone is repeated there, or not elsewhere.
 TEST_F(ZoneTest, TaskThatFailedInTheZoneIsRepeatedElsewhere) {
   AddVmIn("a-0");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kLargeTask)}));
   m_cell.Run(200);
   Evacuate("a");
   m_cell.End(1, RunEnd::kFailed);
@@ -287,7 +216,7 @@
 TEST_F(ZoneTest, RunsOfALostVmOfTheZoneAreRepeatedElsewhere) {
   AddVmIn("a-0");
   AddVmIn("a-1");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kLargeTask)}));
   m_cell.Run(200);
   Evacuate("a");
   m_cell.Vm("a-0").m_reachable = false;
@@ -308,7 +237,7 @@
   advised.m_needs_advice = true;
   m_cell.TakeOver();
   m_cell.Core().AwaitZones();
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, kLargeTask)}));
   m_cell.Submit(m_cell.Job(2, {CellHarness::Step(2, 1'000)}, advised));
   m_cell.Run(5'000);
   m_cell.Core().RequestAdviceAhead(m_cell.Now(), kFreeCalls);
@@ -336,7 +265,7 @@
   QueueRules advised = m_cell.Queue("advised");
   advised.m_needs_advice = true;
   m_cell.m_advice = [](const std::string& id) { return id != "b-0"; };
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(8, kHalfVm)}, advised));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(8, kLargeTask)}, advised));
   m_cell.Submit(m_cell.Job(2, {GangStep(3, 1'000)}, advised));
   m_cell.Core().RequestAdviceAhead(m_cell.Now(), kFreeCalls);
   m_cell.Run(5'000);
@@ -351,7 +280,7 @@
   AddVmIn("b-0");
   QueueRules advised = m_cell.Queue("advised");
   advised.m_needs_advice = true;
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(4, kHalfVm)}, advised));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(4, kLargeTask)}, advised));
   m_cell.Run(200);
   ASSERT_EQ(StartsIn("a"), 1U);
   ASSERT_EQ(StartsIn("b"), 1U);
@@ -388,7 +317,7 @@
 // would be stopped and could not start again.
 TEST_F(ZoneTest, NoRunIsMovedForRoomInTheZone) {
   AddVmIn("b-0").m_percent_per_ms = 0.04;
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kLargeTask)}));
   m_cell.Run(500);
   AddVmIn("a-0");
   Evacuate("a");
@@ -410,7 +339,7 @@
   StepSpec task = CellHarness::Step(1, 1'000);
   task.m_required_label = "here";
   m_cell.Submit(m_cell.Job(2, {task}));
-  m_cell.Submit(m_cell.Job(1, {GangStep(2, kHalfVm)}));
+  m_cell.Submit(m_cell.Job(1, {GangStep(2, kLargeTask)}));
   m_cell.Run(500);
   ASSERT_EQ(RunningOn("b-0"), 2U);
   Evacuate("a");
@@ -425,159 +354,6 @@
   EXPECT_EQ(RunningOn("b-2"), 1U);
 }
 
-// --- VMs that are cold after a restart ---
-
-// Fails if a task starts on a cold VM while another has room, or waits while
-// only cold ones have, or if a VM stays cold.
-TEST_F(ZoneTest, ColdVmsAreUsedLast) {
-  // Best fit would prefer the smaller VM.
-  AddCold("a-0", {32'000, 128'000, 0}, 4'000);
-  AddVmIn("a-1");
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(2, 32'000)}));
-  m_cell.Run(200);
-  EXPECT_EQ(RunningOn("a-1"), 2U);
-  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 32'000)}));
-  m_cell.Run(200);
-  EXPECT_EQ(RunningOn("a-0"), 1U);
-  m_cell.End(1, RunEnd::kDone);
-  m_cell.End(2, RunEnd::kDone);
-  m_cell.Run(5'000);
-  m_cell.Submit(m_cell.Job(3, {CellHarness::Step(1, 32'000)}));
-  m_cell.Run(200);
-  EXPECT_EQ(RunningOn("a-0"), 1U);
-}
-
-// Fails if cold VMs are left out, as VMs to avoid are.
-TEST_F(ZoneTest, ColdVmsAreNeverExcluded) {
-  for (int i = 0; i < 8; ++i) {
-    AddCold("a-" + std::to_string(i), kVmCapacity, 60'000);
-  }
-  m_cell.Submit(m_cell.Job(1, {GangStep(8, 60'000)}));
-  m_cell.Run(200);
-  EXPECT_EQ(m_cell.RunningOf(1), 8U);
-}
-
-// Fails if an entry that is read again, as after each failure of the store,
-// makes its VM cold anew; or if a new value in it is ignored.
-TEST_F(ZoneTest, ReadingAnEntryAgainDoesNotCoolTheVm) {
-  const auto cold = [this] {
-    return m_cell.Core().State().FindListedVm("a-0")->IsCold(
-        m_cell.Now().m_steady_ms);
-  };
-  AddCold("a-0", kVmCapacity, 1'000);
-  EXPECT_TRUE(cold());
-  m_cell.Run(1'100);
-  EXPECT_FALSE(cold());
-  m_cell.List("a-0");
-  EXPECT_FALSE(cold());
-  m_cell.Vm("a-0").m_description.m_cold_left_ms = 2'000;
-  m_cell.List("a-0");
-  EXPECT_TRUE(cold());
-  m_cell.Vm("a-0").m_description.m_cold_left_ms = 0;
-  m_cell.List("a-0");
-  EXPECT_FALSE(cold());
-}
-
-// Fails if a gang runs on cold VMs, of which it runs at the speed of the
-// slowest, while others have room; also if it prefers one rack.
-TEST_F(ZoneTest, GangsUseColdVmsLast) {
-  for (const bool same_rack : {false, true}) {
-    SCOPED_TRACE(same_rack);
-    m_cell = CellHarness();
-    for (const std::string id : {"a-0", "a-1", "b-0", "b-1"}) {
-      const bool is_cold = id.starts_with("a");
-      // The larger VMs come first.
-      AddVmIn(id, {is_cold ? 64'000 : 48'000, 128'000, 0}, {id.substr(0, 1)})
-          .m_description.m_cold_left_ms = is_cold ? 60'000 : 0;
-      m_cell.List(id);
-    }
-    StepSpec gang = GangStep(2, kHalfVm);
-    gang.m_same_rack = same_rack;
-    m_cell.Submit(m_cell.Job(1, {gang}));
-    m_cell.Run(200);
-    EXPECT_EQ(StartsIn("b"), 2U);
-    EXPECT_EQ(StartsIn("a"), 0U);
-  }
-}
-
-// Fails if calls to the advice service name cold VMs before others, however
-// many of them come first in the pool.
-TEST_F(ZoneTest, AdviceNamesColdVmsLast) {
-  for (const bool is_gang : {false, true}) {
-    SCOPED_TRACE(is_gang);
-    m_cell = CellHarness();
-    // Without regard to the cold, tasks prefer small VMs and gangs large ones.
-    const Resources small{48'000, 128'000, 0};
-    for (int i = 0; i < 300; ++i) {
-      const std::string id = "a-" + std::to_string(i);
-      m_cell.AddVm(id, is_gang ? kVmCapacity : small)
-          .m_description.m_cold_left_ms = 60'000;
-      m_cell.List(id);
-    }
-    for (int i = 0; i < 40; ++i) {
-      m_cell.AddVm("b-" + std::to_string(i), is_gang ? small : kVmCapacity);
-    }
-    m_cell.Run(100);
-    QueueRules advised = m_cell.Queue("advised");
-    advised.m_needs_advice = true;
-    StepSpec step = CellHarness::Step(1, kHalfVm);
-    step.m_gang = is_gang;
-    // The search for VMs begins at another one for each job.
-    for (int job = 1; job <= 10; ++job) {
-      m_cell.m_asked.clear();
-      m_cell.Submit(m_cell.Job(job, {step}, advised));
-      m_cell.Run(50);
-      ASSERT_FALSE(m_cell.m_asked.empty());
-      EXPECT_EQ(AskedIn("a"), 0U);
-      EXPECT_GT(AskedIn("b"), 0U);
-    }
-  }
-}
-
-// Fails if a waiting gang reserves cold VMs and leaves the others to later
-// tasks.
-TEST_F(ZoneTest, GangsReserveColdVmsLast) {
-  const std::pair<std::string, std::int64_t> busy[] = {
-      {"a-0", 30'000}, {"b-0", 32'000}, {"b-1", 36'000}};
-  int job = 10;
-  for (const auto& [id, cpu] : busy) {
-    AddVmIn(id, kVmCapacity, {id});
-    StepSpec step = CellHarness::Step(1, cpu);
-    step.m_required_label = id;
-    m_cell.Submit(m_cell.Job(++job, {step}));
-  }
-  m_cell.Vm("a-0").m_description.m_cold_left_ms = 60'000;
-  m_cell.List("a-0");
-  m_cell.Run(100);
-  ASSERT_EQ(m_cell.m_starts.size(), 3U);
-  m_cell.Submit(m_cell.Job(1, {GangStep(2, kHalfVm)}));
-  m_cell.Run(50);
-  m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 20'000)}));
-  m_cell.Run(100);
-  EXPECT_EQ(RunningOn("a-0"), 2U);
-  EXPECT_EQ(StartsIn("b"), 2U);
-}
-
-// Fails if a suspect of a crash is tried on a cold VM while another is quiet.
-TEST_F(ZoneTest, SuspectsUseColdVmsLast) {
-  for (int i = 0; i < 5; ++i) {
-    AddCold("a-" + std::to_string(i), kVmCapacity, 60'000);
-    AddVmIn("b-" + std::to_string(i));
-  }
-  m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, kHalfVm)}));
-  m_cell.Run(100);
-  ASSERT_EQ(StartsIn("b"), 1U);
-  const std::string crashed = m_cell.m_starts.front().m_vm.m_id;
-  m_cell.Vm(crashed).m_reachable = false;
-  m_cell.Vm(crashed).m_failure = VmCallFailure::kGone;
-  m_cell.Unlist(crashed);
-  m_cell.Run(kVmLeaseMs + 3'000);
-  EXPECT_EQ(m_cell.m_starts.size(), 2U);
-  EXPECT_EQ(StartsIn("b"), 2U);
-}
-
-// --- All together ---
-
 // Fails if in any sequence of evacuations, restorations, changes of the owner,
 // slow writes, failures and ends anything is started in an evacuated zone, a
 // gang starts in part, or a job is not completed after the restoration.
