Findings of a read-through by a newcomer

Faults: a reservation in a queue without advice never ended, gangs counted on the same runs, contention undid that cold VMs come last, an empty line after a body began a request, moves of gangs counted VMs to avoid, a withdrawn record named another incarnation. Logic that stood twice has one place, names and pages say what the code does; two tests waited for a time and now wait for the event.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -22,7 +22,7 @@
 constexpr std::size_t kMaxVmsConsidered = 128;
 // The same for a gang for which room may be made, of which each VM may become
 // part.
-constexpr std::size_t kMaxVmsAheadOfRoom = 512;
+constexpr std::size_t kMaxVmsForPreemption = 512;
 // The same limit if cold VMs, which are named last, are among them: all VMs of
 // a zone may have restarted.
 constexpr std::size_t kMaxVmsWithColdOnes = 4 * kMaxVmsConsidered;
@@ -99,9 +99,10 @@
 // VMs without a verdict that hold members of the gang once their runs have
 // ended, those with the most free capacity first, until `wanted` members fit on
 // them and on those that hold `expected` already.
-std::vector<std::string> UnknownVmsInTime(const StepPlacement& step,
-                                          PoolCapacity& pool, double wanted,
-                                          double expected, double good_share) {
+std::vector<std::string> UnknownVmsOnceEmptied(const StepPlacement& step,
+                                               PoolCapacity& pool,
+                                               double wanted, double expected,
+                                               double good_share) {
   std::vector<std::string> vms;
   if (expected >= wanted) {
     return vms;
@@ -109,7 +110,8 @@
   std::vector<SlotFit> fits;
   const std::size_t count = pool.Slots().size();
   const std::size_t first = FirstSlot(step, pool);
-  for (std::size_t i = 0; i < count && fits.size() < kMaxVmsAheadOfRoom; ++i) {
+  for (std::size_t i = 0; i < count && fits.size() < kMaxVmsForPreemption;
+       ++i) {
     Slot& slot = pool.Slots()[(first + i) % count];
     const std::int64_t fit =
         step.HasRequiredLabel(slot) && step.AdviceFor(slot) == nullptr
@@ -254,19 +256,19 @@
   return vms;
 }
 
-std::vector<std::string> ChooseVmsAheadOfRoom(const StepPlacement& step,
-                                              PoolCapacity& pool,
-                                              std::int64_t tasks,
-                                              double good_share) {
+std::vector<std::string> ChooseVmsForPreemption(const StepPlacement& step,
+                                                PoolCapacity& pool,
+                                                std::int64_t tasks,
+                                                double good_share) {
   std::int64_t recommended_fit = 0;
   step.VisitRecommended(pool, [&](const Slot& slot) {
     if (step.HasRequiredLabel(slot)) {
       recommended_fit += std::min(step.FitInTime(slot), tasks);
     }
   });
-  std::vector<std::string> vms =
-      UnknownVmsInTime(step, pool, static_cast<double>(tasks) * kChoiceSurplus,
-                       static_cast<double>(recommended_fit), good_share);
+  std::vector<std::string> vms = UnknownVmsOnceEmptied(
+      step, pool, static_cast<double>(tasks) * kChoiceSurplus,
+      static_cast<double>(recommended_fit), good_share);
   const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
   if (TotalFit(recommended) >= tasks) {
     const std::vector<std::string> expiring = VmsWithExpiringTickets(
--- a/Source/Core/cell/advice_plan.h
+++ b/Source/Core/cell/advice_plan.h
@@ -44,13 +44,13 @@
                                           std::int64_t tasks,
                                           double good_share);
 
-// VMs for a gang for which room may be made: VMs without a verdict, whatever
-// runs there now, until the recommended ones hold the gang several times over
-// once their runs have ended; new tickets only if the gang fits now.
-std::vector<std::string> ChooseVmsAheadOfRoom(const StepPlacement& step,
-                                              PoolCapacity& pool,
-                                              std::int64_t tasks,
-                                              double good_share);
+// VMs to request advice on for a gang that may have runs stopped: those without
+// a verdict, whatever runs there, until the recommended ones would hold the
+// gang several times over; new tickets only if it fits now.
+std::vector<std::string> ChooseVmsForPreemption(const StepPlacement& step,
+                                                PoolCapacity& pool,
+                                                std::int64_t tasks,
+                                                double good_share);
 
 // The expected duration of an advice call about this many VMs, in milliseconds.
 std::int64_t AdviceCallMs(const QueueRules& queue, std::size_t vms);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -263,6 +263,9 @@
   void LearnFromProgress(const VmState& vm, const VmReport& report,
                          const CellTime& now);
   void RefreshSpeeds(const CellTime& now);
+  static bool MayMoveTo(const VmState& other, const VmState& from,
+                        const Job& job, const StepSpec& spec,
+                        const StepState& step, std::int64_t now_ms);
   bool HasCapacityElsewhere(const VmState& vm, const Job& job,
                             const StepSpec& spec, const StepState& step,
                             std::int64_t now_ms) const;
--- a/Source/Core/cell/cell_core_lease_bounds.cc
+++ b/Source/Core/cell/cell_core_lease_bounds.cc
@@ -34,6 +34,13 @@
          (!vm->m_fenced && vm->m_description.m_address.empty());
 }
 
+// Owner's steady clock: the end of the lease that this owner gave. Requires a
+// known clock.
+std::int64_t GrantedLeaseEndMs(const VmState& vm) {
+  return vm.m_clock.CertainlyAfterMs(vm.m_lease_until_vm_ms +
+                                     kLeaseExpirySlackMs);
+}
+
 }  // namespace
 
 std::optional<std::int64_t> CellCore::NextLease(VmState& vm,
@@ -115,9 +122,7 @@
 // Owner's steady clock: until when a run may be on the VM unless it answers.
 std::int64_t CellCore::LeaseEndMs(const VmState& vm) {
   const std::int64_t granted_ms =
-      vm.m_clock.Known() ? vm.m_clock.CertainlyAfterMs(vm.m_lease_until_vm_ms +
-                                                       kLeaseExpirySlackMs)
-                         : EarlierOwnersLeaseEndMs(vm);
+      vm.m_clock.Known() ? GrantedLeaseEndMs(vm) : EarlierOwnersLeaseEndMs(vm);
   return std::max(granted_ms, FormerCallsLeaseEndMs(vm));
 }
 
@@ -138,11 +143,9 @@
 
 // False if everything on the VM has certainly ended unless it has answered.
 bool CellCore::LeaseMayLast(const VmState& vm, const CellTime& now) {
-  const bool granted =
-      vm.m_clock.Known()
-          ? now.m_steady_ms < vm.m_clock.CertainlyAfterMs(
-                                  vm.m_lease_until_vm_ms + kLeaseExpirySlackMs)
-          : EarlierOwnersLeaseMayLast(vm, now);
+  const bool granted = vm.m_clock.Known()
+                           ? now.m_steady_ms < GrantedLeaseEndMs(vm)
+                           : EarlierOwnersLeaseMayLast(vm, now);
   return granted || FormerCallsLeaseMayLast(vm, now);
 }
 
@@ -225,9 +228,8 @@
   for (LogRecord& record : m_open.m_records) {
     const auto* unreachable = std::get_if<VmUnreachable>(&record);
     if (unreachable != nullptr && recorded.erase(unreachable->m_vm) != 0) {
-      const VmReachable withdrawn{unreachable->m_vm};
-      m_state.FindVm(withdrawn.m_vm)->m_runs_ended_by_unix_ms = 0;
-      record = withdrawn;
+      m_state.FindVm(unreachable->m_vm)->m_runs_ended_by_unix_ms = 0;
+      record = VmReachable{vm.Incarnation()};
     }
   }
   if (!recorded.empty()) {
--- a/Source/Core/cell/cell_core_speeds.cc
+++ b/Source/Core/cell/cell_core_speeds.cc
@@ -14,10 +14,6 @@
           spec.m_estimate_ms, spec.m_count, spec.m_gang};
 }
 
-StepRef StepOf(const TaskRef& task) {
-  return {task.m_job, task.m_occurrence, task.m_step};
-}
-
 // A long-lived task has no end, and one on idle processors is as fast as the
 // others leave it.
 bool TellsSpeed(const StepSpec& spec) {
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -180,21 +180,27 @@
   }
 }
 
+// True if tasks of the step that leave `from` may start on `other`.
+bool CellCore::MayMoveTo(const VmState& other, const VmState& from,
+                         const Job& job, const StepSpec& spec,
+                         const StepState& step, std::int64_t now_ms) {
+  const auto advice = step.m_advice.find(other.Incarnation().m_id);
+  const bool known_bad =
+      advice != step.m_advice.end() && !advice->second.m_good;
+  return &other != &from && !known_bad && IsUsable(other, now_ms) &&
+         !other.IsAvoided(now_ms) &&
+         other.m_description.m_service == job.m_spec.m_queue.m_service &&
+         other.HasRequiredLabel(spec);
+}
+
 bool CellCore::HasCapacityElsewhere(const VmState& vm, const Job& job,
                                     const StepSpec& spec, const StepState& step,
                                     std::int64_t now_ms) const {
-  for (const auto& [life, other] : m_state.Vms()) {
-    const auto advice = step.m_advice.find(life.m_id);
-    const bool known_bad =
-        advice != step.m_advice.end() && !advice->second.m_good;
-    if (&other != &vm && !known_bad && IsUsable(other, now_ms) &&
-        !other.IsAvoided(now_ms) &&
-        other.m_description.m_service == job.m_spec.m_queue.m_service &&
-        other.HasRequiredLabel(spec) && spec.Charge().FitsIn(other.Free())) {
-      return true;
-    }
-  }
-  return false;
+  const auto& vms = m_state.Vms();
+  return std::any_of(vms.begin(), vms.end(), [&](const auto& one) {
+    return MayMoveTo(one.second, vm, job, spec, step, now_ms) &&
+           spec.Charge().FitsIn(one.second.Free());
+  });
 }
 
 std::int64_t CellCore::PollWaitMs(const VmState& vm, const CellTime& now) {
--- a/Source/Core/cell/cell_core_zones.cc
+++ b/Source/Core/cell/cell_core_zones.cc
@@ -108,12 +108,7 @@
   }
   to_place += vm.m_evacuated ? 0 : members[vm.Incarnation()];
   for (const auto& [life, other] : m_state.Vms()) {
-    const auto advice = step.m_advice.find(life.m_id);
-    const bool known_bad =
-        advice != step.m_advice.end() && !advice->second.m_good;
-    if (&other == &vm || known_bad || !IsUsable(other, now_ms) ||
-        other.m_description.m_service != job.m_spec.m_queue.m_service ||
-        !other.HasRequiredLabel(spec)) {
+    if (!MayMoveTo(other, vm, job, spec, step, now_ms)) {
       continue;
     }
     std::int64_t fit =
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -402,7 +402,7 @@
     peer.m_last_received_ms = peer.m_accepted_ms;
     peer.m_link =
         std::make_unique<MessageLink>(m_reactor, socket, std::move(handlers));
-    peer.m_link->SetMaxMessageBytes(MessageLink::kMaxGreetingBytes);
+    peer.m_link->SetMaxMessageBytes(MessageLink::kMaxHelloBytes);
     LimitPeers(number);
   }
 
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -148,6 +148,11 @@
   bool operator==(const StepRef&) const = default;
 };
 
+// The step of the task.
+inline StepRef StepOf(const TaskRef& task) {
+  return {task.m_job, task.m_occurrence, task.m_step};
+}
+
 // "<job>.<occurrence>.<step>".
 std::string ToString(const StepRef& step);
 
--- a/Source/Core/cell/contention.cc
+++ b/Source/Core/cell/contention.cc
@@ -109,10 +109,6 @@
   }
 }
 
-StepRef StepOf(const TaskRef& task) {
-  return {task.m_job, task.m_occurrence, task.m_step};
-}
-
 }  // namespace
 
 ImageId ContentionModel::IdOf(std::string_view name) {
--- a/Source/Core/cell/deadline_queue.h
+++ b/Source/Core/cell/deadline_queue.h
@@ -1,8 +1,6 @@
-// Deadlines that can be removed, over a loop whose timers cannot.
-//
-// A timer for each deadline would stay until its time has come, also if what it
-// limits ended at once: at the full rate of a client those timers take more
-// memory than everything else.
+// Deadlines that can be removed, with few timers of a loop whose timers cannot.
+// A timer for each deadline would keep its memory until the deadline, although
+// most requests end long before.
 #pragma once
 
 #include <cstdint>
@@ -37,8 +35,8 @@
   }
 
  private:
-  // Timers for deadlines that are not close are set for the start of such a
-  // span, so that deadlines that come nearer each time cannot set a timer each.
+  // Timers are set for multiples of this, unless that is past: deadlines added
+  // in descending order then share a timer.
   static constexpr std::int64_t kSpanMs = 16;
 
   void Arm() {
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -37,10 +37,6 @@
   return tasks;
 }
 
-StepRef StepOf(const TaskRef& task) {
-  return {task.m_job, task.m_occurrence, task.m_step};
-}
-
 void LogRuns(std::string_view event, const StepRef& step, const RunList& runs,
              std::string_view how) {
   Log(LogLevel::kInfo, LogCategory::kCell, event,
--- a/Source/Core/cell/preemption.h
+++ b/Source/Core/cell/preemption.h
@@ -1,9 +1,7 @@
 // Which running tasks may be stopped so that a more urgent gang can start.
-//
-// Answers a fleet that is full of independent tasks: they take each piece of
-// room as it becomes free, and a gang, which needs much room at once, starves
-// unless the room is kept idle for it or made for it. Free of I/O and side
-// effects.
+// Used in overloaded pools (docs/design/scarcity.md): independent tasks take
+// each piece of room as it becomes free, so a gang needs room made for it. Free
+// of I/O and side effects.
 #pragma once
 
 #include <cstdint>
--- a/Source/Core/cell/preemption_test.cc
+++ b/Source/Core/cell/preemption_test.cc
@@ -278,6 +278,41 @@
   EXPECT_EQ(m_cell.RunningOf(kGangJob), kMembers);
 }
 
+// Fails if a gang that cannot start keeps its VMs for ever: without tickets,
+// nothing else ends the reservation.
+TEST_F(GangPreemptionTest, GangThatMayNotStartGivesItsRoomUp) {
+  m_cell.SetTeam("team", {{}, 1, 0});
+  Fill(Batch());
+  for (int i = 0; i < kVms; ++i) {
+    m_cell.Vm("vm-" + std::to_string(i)).m_executes_stops = false;
+  }
+  m_cell.Submit(m_cell.Job(kGangJob, {Gang()}, QueueOf(1), "team"));
+  m_cell.Run(200);
+  ASSERT_GT(Preempted(), 0U);
+  m_cell.SetTeam("team", {{1'000, 0, 0}, 1, 0});
+  m_cell.End(kBatchJob, RunEnd::kDone);
+  m_cell.Run(2'000);
+  EXPECT_EQ(m_cell.RunningOf(kGangJob), 0U);
+  EXPECT_EQ(m_cell.RunningOf(kBatchJob), kBatchRoom);
+}
+
+// Fails if two gangs count on the end of the same runs: one of them would
+// request tickets and keep room in vain.
+TEST_F(GangPreemptionTest, GangsDoNotCountOnTheSameRuns) {
+  Fill(Batch());
+  StepSpec small = Gang();
+  small.m_count = 2;
+  for (int gang = 0; gang < 3; ++gang) {
+    m_cell.Submit(m_cell.Job(100 + gang, {small}, QueueOf(1)));
+  }
+  m_cell.Run(500);
+  for (int gang = 0; gang < 3; ++gang) {
+    EXPECT_EQ(m_cell.RunningOf(100 + gang), 2U) << gang;
+  }
+  EXPECT_EQ(Preempted(), 12U);
+  ExpectNoVmIsOverfilled();
+}
+
 // Fails if work is lost when the owner changes between the stops and the start
 // of the gang: the next owner knows of no reservation.
 TEST_F(GangPreemptionTest, NextOwnerStartsTheGangAndTheStoppedTasks) {
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -142,7 +142,7 @@
                                             Pool& pool,
                                             std::int64_t margin_ms) const;
   void StopRunsFor(const StepPlacement& step, Pool& pool);
-  static void KeepReservation(const StepPlacement& step, Pool& pool);
+  void KeepReservation(const StepPlacement& step, Pool& pool);
   const std::vector<PreemptibleRun>& PreemptibleRunsOn(const VmState& vm);
 
   Scheduler& m_scheduler;
@@ -163,6 +163,8 @@
   // By VM, computed when first needed.
   std::map<const VmState*, std::vector<PreemptibleRun>> m_preemptible;
   std::set<RunKey> m_preempted;
+  // Capacity of runs on the VM that reservations count on already.
+  std::map<const VmState*, Resources> m_claimed;
   ScheduleResult m_result;
 };
 
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -211,7 +211,7 @@
   }
   if (may_ask) {
     const auto choose =
-        pool.m_preempts ? ChooseVmsAheadOfRoom : ChooseVmsForGang;
+        pool.m_preempts ? ChooseVmsForPreemption : ChooseVmsForGang;
     RequestAdvice(step, choose(step, pool.m_capacity, tasks, GoodShare(step)));
   }
   if (may_reserve) {
@@ -293,6 +293,8 @@
   SortLargestFirst(fits);
   m_contention.SortByCost(step.Spec().m_image, fits,
                           [](const SlotFit& one) { return one.m_slot->m_vm; });
+  std::stable_partition(fits.begin(), fits.end(),
+                        [](const SlotFit& one) { return !one.m_slot->m_cold; });
   if (step.Spec().m_same_rack || !step.Spec().m_rack_affinity.empty()) {
     PreferOneRack(step.Spec().m_rack_affinity, tasks, fits);
   }
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -5,6 +5,7 @@
 // they are stopped once the tickets are valid, so that little time passes in
 // which the room is idle.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cell/advice_plan.h"
@@ -154,19 +155,22 @@
   const std::int64_t priority = step.Queue().m_priority;
   VisitAllowed(step, pool.m_capacity, [&](Slot& slot) {
     Slot emptied = slot;
-    emptied.m_free = slot.m_free + PreemptibleCapacity(
-                                       PreemptibleRunsOn(*slot.m_vm), priority);
+    const Resources capacity =
+        PreemptibleCapacity(PreemptibleRunsOn(*slot.m_vm), priority) -
+        m_claimed[slot.m_vm];
+    emptied.m_free = slot.m_free + Max(capacity, {});
     const std::int64_t fit = step.Fit(emptied);
     if (fit > 0) {
       candidates.push_back({&slot, fit});
     }
   });
   KeepFastest(tasks, candidates);
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [&](const SlotFit& a, const SlotFit& b) {
-                     return std::pair(step.Fit(*a.m_slot), a.m_fit) >
-                            std::pair(step.Fit(*b.m_slot), b.m_fit);
-                   });
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [&](const SlotFit& a, const SlotFit& b) {
+        return std::tuple(!a.m_slot->m_cold, step.Fit(*a.m_slot), a.m_fit) >
+               std::tuple(!b.m_slot->m_cold, step.Fit(*b.m_slot), b.m_fit);
+      });
   std::vector<GangReservation::Vm> chosen;
   std::int64_t left = tasks;
   for (const auto& [slot, fit] : candidates) {
@@ -195,12 +199,15 @@
 }
 
 // Stops what is in the way on the reserved VMs, beyond what is ending there
-// already. The reservation then lasts as long as the tickets.
+// already. The reservation lasts as long as the tickets; without tickets, later
+// passes do not extend it, so that a gang that cannot start gives the VMs up.
 void SchedulingPass::StopRunsFor(const StepPlacement& step, Pool& pool) {
   GangReservation& reservation = step.State().m_reservation;
-  reservation.m_until_ms = step.NeedsAdvice()
-                               ? step.State().m_tickets_until_ms
-                               : m_now.m_steady_ms + kStopAndStartMs;
+  if (step.NeedsAdvice()) {
+    reservation.m_until_ms = step.State().m_tickets_until_ms;
+  } else if (reservation.m_until_ms == 0) {
+    reservation.m_until_ms = m_now.m_steady_ms + kStopAndStartMs;
+  }
   for (const GangReservation::Vm& vm : reservation.m_vms) {
     const Slot* slot = pool.m_capacity.Find(vm.m_id);
     if (slot == nullptr || m_kind == PassKind::kAdviceOnly) {
@@ -219,14 +226,21 @@
   }
 }
 
-// Keeps the reserved room, as far as it is free, from the steps that follow.
+// Keeps the reserved room, as far as it is free, from the steps that follow,
+// and the runs that will be stopped from other gangs.
 void SchedulingPass::KeepReservation(const StepPlacement& step, Pool& pool) {
   const Resources charge = step.Spec().Charge();
   for (const GangReservation::Vm& vm : step.State().m_reservation.m_vms) {
     pool.m_reserved_cpu_millis += charge.m_cpu_millis * vm.m_members;
     Slot* slot = pool.m_capacity.Find(vm.m_id);
     if (slot != nullptr) {
-      pool.m_capacity.Reserve(*slot, Min(charge * vm.m_members, slot->m_free));
+      const Resources need = charge * vm.m_members;
+      const Resources kept = Min(need, slot->m_free);
+      const Resources missing =
+          need - kept -
+          CapacityBeingFreed(*slot->m_vm, m_state, m_now.m_steady_ms);
+      m_claimed[slot->m_vm] = m_claimed[slot->m_vm] + Max(missing, {});
+      pool.m_capacity.Reserve(*slot, kept);
     }
   }
 }
--- a/Source/Core/cell/vm_speed.cc
+++ b/Source/Core/cell/vm_speed.cc
@@ -111,6 +111,7 @@
     return;
   }
   if (m_batches.size() >= kMaxBatches && m_batches.count(step) == 0) {
+    // Any step will do: this bounds memory under an extreme load only.
     Evaluate(m_batches.begin()->second, now_ms);
     m_batches.erase(m_batches.begin());
   }
@@ -279,6 +280,10 @@
   std::erase_if(m_queues, [&](const auto& one) {
     return one.second.m_error.WeightAt(now_ms) < kMinWeight;
   });
+}
+
+// Evaluates the steps that have waited long enough.
+void VmSpeeds::EvaluateDueBatches(std::int64_t now_ms) {
   std::erase_if(m_batches, [&](const auto& one) {
     const Batch& batch = one.second;
     const std::int64_t wait_ms =
@@ -335,6 +340,7 @@
 
 std::vector<VmSpeedChange> VmSpeeds::Refresh(std::int64_t now_ms) {
   Forget(now_ms);
+  EvaluateDueBatches(now_ms);
   UpdateServices(now_ms);
   std::map<std::string, std::pair<double, double>> centers;
   for (auto& [id, entry] : m_vms) {
--- a/Source/Core/cell/vm_speed.h
+++ b/Source/Core/cell/vm_speed.h
@@ -124,6 +124,7 @@
   void LearnQueue(const Batch& batch, const Reference& reference,
                   std::int64_t now_ms);
   void Forget(std::int64_t now_ms);
+  void EvaluateDueBatches(std::int64_t now_ms);
   void UpdateServices(std::int64_t now_ms);
 
   // By VM id. Bounded: an entry without new samples is dropped.
--- a/Source/Core/common/resources.h
+++ b/Source/Core/common/resources.h
@@ -60,6 +60,13 @@
           std::min(left.m_accelerators, right.m_accelerators)};
 }
 
+// The larger amount in each dimension.
+inline Resources Max(const Resources& left, const Resources& right) {
+  return {std::max(left.m_cpu_millis, right.m_cpu_millis),
+          std::max(left.m_memory_mb, right.m_memory_mb),
+          std::max(left.m_accelerators, right.m_accelerators)};
+}
+
 inline void to_json(nlohmann::json& json, const Resources& value) {
   json = {{"cpu_millis", value.m_cpu_millis},
           {"memory_mb", value.m_memory_mb},
--- a/Source/Core/transport/client_budget.cc
+++ b/Source/Core/transport/client_budget.cc
@@ -3,6 +3,7 @@
 #include "transport/client_budget.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "common/logger.h"
@@ -89,11 +90,11 @@
   return largest;
 }
 
-ClientBudget::Account* ClientBudget::LeastUsedOf(const std::string& address) {
-  // A connection whose request is being handled comes last; then the one that
-  // holds the most, then the one that was used longest ago.
+ClientBudget::Account* ClientBudget::FirstToCloseOf(
+    const std::string& address) {
   const auto rank = [](const Account& account) {
-    return std::tuple(account.m_busy ? 1 : 0, ~account.m_bytes,
+    return std::tuple(account.m_busy,
+                      std::numeric_limits<std::size_t>::max() - account.m_bytes,
                       account.m_last_use);
   };
   Account* first = nullptr;
@@ -122,7 +123,7 @@
         m_clients.begin(), m_clients.end(), [](const auto& a, const auto& b) {
           return a.second.m_connections < b.second.m_connections;
         });
-    CloseAccount(LeastUsedOf(largest->first), ClientLimit::kConnections);
+    CloseAccount(FirstToCloseOf(largest->first), ClientLimit::kConnections);
   }
 }
 
--- a/Source/Core/transport/client_budget.h
+++ b/Source/Core/transport/client_budget.h
@@ -100,7 +100,10 @@
 
   // Null if the client has no connection.
   Account* LargestOf(const std::string& address);
-  Account* LeastUsedOf(const std::string& address);
+  // The connection to close when there are too many: first those without a
+  // request in handling, of these the one that holds the most, then the one
+  // used longest ago.
+  Account* FirstToCloseOf(const std::string& address);
   void EnforceBytes();
   // Closes connections until one more is allowed.
   void MakeRoom();
--- a/Source/Core/transport/client_budget_test.cc
+++ b/Source/Core/transport/client_budget_test.cc
@@ -224,6 +224,9 @@
   Client client(m_peer);
   client.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
   client.EndSending();
+  while (m_requests.empty()) {
+    Run(5);
+  }
   Run(50);
   ASSERT_EQ(m_requests.size(), 1U);
   EXPECT_EQ(m_server.InFlight(), 1U);
@@ -275,10 +278,13 @@
   ASSERT_EQ(m_unanswered.size(), 1U);
   // Three further connections push the waiting one out.
   std::vector<std::unique_ptr<Client>> others;
-  for (int i = 0; i < 3; ++i) {
+  for (std::size_t i = 0; i < 3; ++i) {
     others.push_back(std::make_unique<Client>(m_peer));
-    others.back()->Send("GET /other HTTP/1.1\r\n\r\n");
-    Run(20);
+    others.back()->Send("GET /1 HTTP/1.0\r\n\r\n");
+    while (m_unanswered.size() < i + 2 &&
+           m_budget.Count(ClientLimit::kConnections) == 0) {
+      Run(5);
+    }
   }
   RunUntilClosed(waiting);
   EXPECT_EQ(m_budget.Count(ClientLimit::kConnections), 1U);
--- a/Source/Core/transport/http_connection.cc
+++ b/Source/Core/transport/http_connection.cc
@@ -186,7 +186,7 @@
 void HttpConnection::Dispatch() {
   m_phase = Phase::kHandling;
   m_keep_alive = m_reader.KeepAlive();
-  m_old_version = m_reader.IsOldVersion();
+  m_is_http_1_0 = m_reader.IsHttp10();
   m_handling_bytes = m_reader.HeldBytes();
   bufferevent_disable(m_stream, EV_READ);
   HttpRequest request = m_reader.Take();
@@ -242,7 +242,7 @@
   if (!HasConnectionHeader(response)) {
     if (m_close_after_answer) {
       head += "Connection: close\r\n";
-    } else if (m_old_version) {
+    } else if (m_is_http_1_0) {
       head += "Connection: keep-alive\r\n";
     }
   }
--- a/Source/Core/transport/http_connection.h
+++ b/Source/Core/transport/http_connection.h
@@ -83,7 +83,7 @@
   // Bytes of the request that is being handled.
   std::size_t m_handling_bytes = 0;
   bool m_keep_alive = true;
-  bool m_old_version = false;
+  bool m_is_http_1_0 = false;
   bool m_continue_sent = false;
   bool m_refused = false;
   bool m_close_after_answer = false;
--- a/Source/Core/transport/http_request_reader.cc
+++ b/Source/Core/transport/http_request_reader.cc
@@ -162,8 +162,10 @@
 void HttpRequestReader::OnLine(std::string_view line) {
   switch (m_part) {
     case Part::kRequestLine:
-      // Some clients send an empty line after a body.
-      if (!line.empty()) {
+      // Some clients send an empty line after a body; no request has begun.
+      if (line.empty()) {
+        m_state = State::kIdle;
+      } else {
         OnRequestLine(line);
       }
       break;
@@ -213,8 +215,8 @@
     Fail(HttpStatus::kNotImplemented, "unknown_method");
     return;
   }
-  m_old_version = version == "HTTP/1.0";
-  m_keep_alive = !m_old_version;
+  m_is_http_1_0 = version == "HTTP/1.0";
+  m_keep_alive = !m_is_http_1_0;
   m_head.append(line).push_back('\n');
   m_part = Part::kHeaders;
 }
@@ -230,7 +232,7 @@
   if (EqualsIgnoreCase(name, "content-length")) {
     SetLength(value);
   } else if (EqualsIgnoreCase(name, "transfer-encoding")) {
-    if (m_chunked || m_old_version || !EqualsIgnoreCase(value, "chunked")) {
+    if (m_chunked || m_is_http_1_0 || !EqualsIgnoreCase(value, "chunked")) {
       Fail(HttpStatus::kBadRequest, "unknown_transfer_encoding");
     }
     m_chunked = true;
--- a/Source/Core/transport/http_request_reader.h
+++ b/Source/Core/transport/http_request_reader.h
@@ -62,7 +62,7 @@
   // head was read.
   bool KeepAlive() const { return m_keep_alive; }
   // The client speaks HTTP/1.0.
-  bool IsOldVersion() const { return m_old_version; }
+  bool IsHttp10() const { return m_is_http_1_0; }
   // The client waits for "100 Continue" before it sends the body.
   bool ExpectsContinue() const { return m_expects_continue; }
 
@@ -114,7 +114,7 @@
   std::size_t m_content_length = kNoLength;
   bool m_chunked = false;
   bool m_keep_alive = true;
-  bool m_old_version = false;
+  bool m_is_http_1_0 = false;
   bool m_expects_continue = false;
   int m_failure_status = 0;
   std::string_view m_failure_reason;
--- a/Source/Core/transport/http_request_reader_test.cc
+++ b/Source/Core/transport/http_request_reader_test.cc
@@ -55,6 +55,16 @@
   return corpus;
 }
 
+// Fails if an empty line after a body counts as the begin of a request: an idle
+// connection was closed when the headers did not follow.
+TEST(HttpRequestReaderTest, EmptyLinesBeginNoRequest) {
+  HttpRequestReader reader(kLimits);
+  reader.Feed("\r\n\r\n");
+  EXPECT_EQ(reader.GetState(), State::kIdle);
+  reader.Feed("G");
+  EXPECT_EQ(reader.GetState(), State::kHead);
+}
+
 // Fails if a request is read differently when its bytes arrive one at a time,
 // or if the next request is taken for its body.
 TEST(HttpRequestReaderTest, ReadsRequestsInAnyPieces) {
--- a/Source/Core/transport/message_link.h
+++ b/Source/Core/transport/message_link.h
@@ -48,8 +48,8 @@
   // announced, before it is read.
   void SetMaxMessageBytes(std::size_t bytes);
 
-  // Limit of a peer that has not said who it is.
-  static constexpr std::size_t kMaxGreetingBytes = 4'096;
+  // Limit until the peer has named itself in its first message.
+  static constexpr std::size_t kMaxHelloBytes = 4'096;
   // Default limit: a request for advice on a step names up to all VMs of a
   // service, which takes 140 kB at 7,000.
   static constexpr std::size_t kMaxMessageBytes = 1U << 20U;
