--- a/Source/Core/cell/preemption_test.cc
+++ b/Source/Core/cell/preemption_test.cc
@@ -33,6 +33,7 @@
 
 std::vector<std::uint32_t> Indices(const std::vector<PreemptibleRun>& runs) {
   std::vector<std::uint32_t> indices;
+  indices.reserve(runs.size());
   for (const PreemptibleRun& run : runs) {
     indices.push_back(run.m_run.first.m_index);
   }
