--- a/Source/Core/cell/contention_test.cc
+++ b/Source/Core/cell/contention_test.cc
@@ -169,7 +169,7 @@
   for (int round = 0; round < 20; ++round) {
     for (std::size_t i = 0; i < 40; ++i) {
       tasks.At(i).m_tasks.clear();
-      for (int j = 0; j < 10; ++j) {
+      for (std::size_t j = 0; j < 10; ++j) {
         tasks.Add(i, fmt::format("{}-{}", round, (7 * i + 13 * j) % 100));
       }
     }
