One loop chooses the VMs of a gang's advice request

UnknownVms and UnknownVmsOnceEmptied had the same loop. The constant of gangs that keep room idle under overload had the name of another one.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -61,9 +61,27 @@
   return vms;
 }
 
-// VMs without a verdict, those with the most capacity first. The fixed cost of
-// a call is high, so it names at least kTypicalVmsPerAdviceCall VMs if there
-// are as many.
+// The first of the VMs, none with a verdict, until `wanted` members are
+// expected to fit on them and on those that hold `expected` already. The fixed
+// cost of a call is high, so it names at least kTypicalVmsPerAdviceCall VMs if
+// there are as many.
+std::vector<std::string> TakeUntilEnough(const std::vector<SlotFit>& fits,
+                                         double expected, double wanted,
+                                         double good_share) {
+  std::vector<std::string> vms;
+  for (const auto& [slot, fit] : fits) {
+    const bool enough =
+        expected >= wanted && vms.size() >= kTypicalVmsPerAdviceCall;
+    if (enough || vms.size() >= kMaxVmsPerAdviceCall) {
+      break;
+    }
+    expected += static_cast<double>(fit) * good_share;
+    vms.push_back(slot->VmId());
+  }
+  return vms;
+}
+
+// VMs without a verdict, those with the most capacity first.
 std::vector<std::string> UnknownVms(const StepPlacement& step,
                                     PoolCapacity& pool, std::int64_t tasks,
                                     double good_share) {
@@ -82,18 +100,7 @@
   KeepFastest(static_cast<std::int64_t>(std::ceil(wanted / good_share)), fits);
   SortLargestFirst(fits);
   MoveSlowLast(fits);
-  double expected = 0;
-  std::vector<std::string> vms;
-  for (const auto& [slot, fit] : fits) {
-    const bool enough =
-        expected >= wanted && vms.size() >= kTypicalVmsPerAdviceCall;
-    if (enough || vms.size() >= kMaxVmsPerAdviceCall) {
-      break;
-    }
-    expected += static_cast<double>(fit) * good_share;
-    vms.push_back(slot->VmId());
-  }
-  return vms;
+  return TakeUntilEnough(fits, 0, wanted, good_share);
 }
 
 // VMs without a verdict that hold members of the gang once their runs have
@@ -103,9 +110,8 @@
                                                PoolCapacity& pool,
                                                double wanted, double expected,
                                                double good_share) {
-  std::vector<std::string> vms;
   if (expected >= wanted) {
-    return vms;
+    return {};
   }
   std::vector<SlotFit> fits;
   const std::size_t count = pool.Slots().size();
@@ -126,16 +132,7 @@
         return a.m_slot->m_free.m_cpu_millis > b.m_slot->m_free.m_cpu_millis;
       });
   MoveSlowLast(fits);
-  for (const auto& [slot, fit] : fits) {
-    const bool enough =
-        expected >= wanted && vms.size() >= kTypicalVmsPerAdviceCall;
-    if (enough || vms.size() >= kMaxVmsPerAdviceCall) {
-      break;
-    }
-    expected += static_cast<double>(fit) * good_share;
-    vms.push_back(slot->VmId());
-  }
-  return vms;
+  return TakeUntilEnough(fits, expected, wanted, good_share);
 }
 
 }  // namespace
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -19,7 +19,7 @@
 constexpr std::int64_t kOverloadPercent = 100;
 // Gangs that keep room idle in an overloaded pool: those too large for
 // preemption have their turn, too.
-constexpr int kMinReservingGangs = 2;
+constexpr int kReservingGangsUnderOverload = 2;
 // Gangs with a reservation take at most this share of a pool, but for one that
 // is larger alone.
 constexpr std::int64_t kMaxReservedPercent = 40;
@@ -50,7 +50,7 @@
     pool.m_preempts = pool.m_waiting_cpu_millis * 100 >=
                       pool.m_total_cpu_millis * kOverloadPercent;
     if (pool.m_preempts) {
-      pool.m_max_reserving_gangs = kMinReservingGangs;
+      pool.m_max_reserving_gangs = kReservingGangsUnderOverload;
     }
     // Most deployments have one pool.
     return m_pools.size() > 1 || !pool.m_preempts;
