Daemons wait for the next owner at the end of an outage of the store

Callers saw: the store is away for 4 s and its leases lapse.

Cause: a daemon without an owner whose own calls to the store fail takes itself for cut off and gives its callers up, so that they ask elsewhere. At the end of an outage that is the state of all daemons.

Change: the owner's pings say whether the store takes its writes. A daemon whose last owner had no store either waits for the next one, up to the 3 s that a change of the owner may take.

--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -20,6 +20,7 @@
 #include "cell/cell_owner.h"
 #include "cell/configuration_view.h"
 #include "cell/handover.h"
+#include "cell/owner_contact.h"
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
 #include "common/callback_guard.h"
@@ -95,7 +96,7 @@
   // connected to an owner or expecting one soon.
   bool Ready() const {
     return !m_draining && m_configuration != nullptr &&
-           (m_entry.Connected() || (m_last_connected_ms != 0 && !Isolated()));
+           (m_entry.Connected() || (m_contact.EverConnected() && !Isolated()));
   }
 
   std::shared_ptr<const ConfigurationView> Configuration() const {
@@ -117,9 +118,6 @@
   // A link that receives nothing for this long is closed.
   static constexpr std::int64_t kLinkTimeoutMs = 1'700;
   static constexpr std::int64_t kReconnectMs = 60;
-  // A change of the owner takes less than this: the lease of the old one and
-  // the load of the log.
-  static constexpr std::int64_t kMaxOwnerChangeMs = 3'000;
   // A draining owner resigns after this long even if a write is unanswered.
   static constexpr std::int64_t kResignTimeoutMs = 1'000;
   // Interval of the lines that tell what an owner's link and processor did.
@@ -135,14 +133,16 @@
     bool m_welcome_sent = false;
   };
 
-  // True if no owner is connected and none is expected soon: this daemon cannot
-  // reach the store, which names the owner, or a change of the owner would be
-  // over by now.
+  // True if no owner is connected and none is expected soon.
   bool Isolated() const {
-    const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
     return !m_entry.Connected() && !m_owner &&
-           (m_configuration_feed.Failing() ||
-            now_ms - m_last_connected_ms > kMaxOwnerChangeMs);
+           m_contact.Isolated(m_reactor.Now().m_steady_ms,
+                              m_configuration_feed.Failing());
+  }
+
+  // What the connected owner, in this daemon or another, last said.
+  bool OwnerWritesToStore() const {
+    return m_owner ? m_owner->Core().StoreWritable() : !m_link_store_away;
   }
 
   // --- Configuration ---
@@ -350,6 +350,9 @@
       case LinkMessageKind::kTakeoverRequest:
         m_ownership.OnTakeoverRequested(m_link_revision);
         break;
+      case LinkMessageKind::kPing:
+        OnOwnerPing(*message);
+        break;
       default:
         break;
     }
@@ -363,6 +366,13 @@
     });
   }
 
+  void OnOwnerPing(const LinkMessage& message) {
+    m_link_store_away = message.m_store_away;
+    if (m_entry.Connected()) {
+      m_contact.OnConnected(m_reactor.Now().m_steady_ms, OwnerWritesToStore());
+    }
+  }
+
   void OnNotOwner(const LinkMessage& message) {
     // Another instance answers at the owner's address: the owner is dead.
     if (m_known_owner && message.m_instance != m_known_owner->m_instance) {
@@ -507,7 +517,7 @@
   void Tick() {
     const std::int64_t now_ms = m_reactor.Now().m_steady_ms;
     if (m_entry.Connected()) {
-      m_last_connected_ms = now_ms;
+      m_contact.OnConnected(now_ms, OwnerWritesToStore());
     }
     CheckIsolation(now_ms);
     if (m_owner) {
@@ -525,7 +535,7 @@
   // Ends the requests that wait for an owner once this daemon is isolated. A
   // daemon that never had an owner is still starting.
   void CheckIsolation(std::int64_t now_ms) {
-    const bool isolated = m_last_connected_ms != 0 && Isolated();
+    const bool isolated = m_contact.EverConnected() && Isolated();
     if (isolated) {
       m_entry.SetIsolated();
     }
@@ -537,12 +547,13 @@
         LogCategory::kMembership,
         isolated ? "owner_unreachable" : "owner_regained",
         {{"store_failing", m_configuration_feed.Failing()},
-         {"without_owner_ms", now_ms - m_last_connected_ms}});
+         {"without_owner_ms", m_contact.MsWithoutOwner(now_ms)}});
   }
 
   void CheckLinks(std::int64_t now_ms) {
     LinkMessage ping;
     ping.m_kind = LinkMessageKind::kPing;
+    ping.m_store_away = m_owner && !m_owner->Core().StoreWritable();
     const RpcMessage encoded = EncodeLinkMessage(ping);
     if (m_link) {
       if (now_ms - m_link_last_received_ms > kLinkTimeoutMs) {
@@ -628,8 +639,9 @@
   HandoverPolicy m_handover;
   // Steady clock: when the owner in this daemon became ready.
   std::int64_t m_owner_ready_ms = 0;
-  // Steady clock: when an owner was last reachable; 0 before the first time.
-  std::int64_t m_last_connected_ms = 0;
+  OwnerContact m_contact;
+  // The owner at the other end of m_link cannot write to the store.
+  bool m_link_store_away = false;
   // Result of the last CheckIsolation().
   bool m_isolated = false;
   // Totals in the last line of ReportWorkload(), and its time (steady clock).
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -112,6 +112,7 @@
     case LinkMessageKind::kTakeoverRequest:
       decoded.m_instance = header.value("i", "");
       decoded.m_cpu_millis = header.value("p", std::int64_t{0});
+      decoded.m_store_away = header.value("w", false);
       break;
     case LinkMessageKind::kRequest: {
       auto request = DecodeRequest(message);
@@ -178,6 +179,9 @@
       if (message.m_cpu_millis != 0) {
         encoded.m_header["p"] = message.m_cpu_millis;
       }
+      if (message.m_store_away) {
+        encoded.m_header["w"] = true;
+      }
       break;
     case LinkMessageKind::kRequest:
       EncodeRequest(message.m_request, encoded);
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -51,6 +51,8 @@
   std::string m_instance;
   // kHello: the sender's processor capacity, in thousandths of a core.
   std::int64_t m_cpu_millis = 0;
+  // kPing of an owner: the store does not take its writes.
+  bool m_store_away = false;
   CellRequest m_request;
   CellAnswer m_answer;
   AdviceRequest m_advice_request;
