Short calls to the advice service have a lane; gangs ask until they can start

- Of 26 gangs that could make room by preemption 20 to 27 waited since the VMs recommended to them held no runs that may be stopped.
They asked about no others: those known would have held them four times over once all runs had ended, urgent ones and other gangs included.
Now a gang counts what its VMs would hold after the stops, and asks until that is four times its need, or twelve times once all runs have ended.
GangAsksUntilItKnowsVmsThatCanBeEmptied failed before.
- Each daemon makes two calls at a time, one behind the other.
With 74 of 84 calls open, the call of an urgent step (10 ms) waited behind one of a gang (0.6 to 1.1 s) and the job was late.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -26,11 +26,18 @@
 // The same limit if cold VMs, which are named last, are among them: all VMs of
 // a zone may have restarted.
 constexpr std::size_t kMaxVmsWithColdOnes = 4 * kMaxVmsConsidered;
+// A call that takes longer than this would delay an urgent step behind it
+// beyond what a caller who waits for it notices.
+constexpr std::int64_t kLongAdviceCallMs = 100;
 // Number of VMs that an advice call for a gang usually names.
 constexpr std::size_t kTypicalVmsPerAdviceCall = 24;
-// How many times over the recommended VMs should hold a gang for which room may
-// be made. A wide choice makes room where the least work is stopped.
+// How many times over the recommended VMs should hold a gang once runs have
+// been stopped for it. A wide choice makes room where the least work is
+// stopped, and other gangs take some of it meanwhile.
 constexpr double kChoiceSurplus = 4;
+// The same once all their runs have ended. With more, the runs that cannot be
+// stopped end before further verdicts would help.
+constexpr std::int64_t kMaxChoiceSurplus = 12;
 
 // A different start in the pool for each job, so that jobs do not all ask about
 // the same VMs.
@@ -104,12 +111,13 @@
 }
 
 // VMs without a verdict that hold members of the gang once their runs have
-// ended, those with the most free capacity first, until `wanted` members fit on
-// them and on those that hold `expected` already.
+// ended, those that hold most of them after stops first, until `wanted` members
+// fit after stops on them and on those that hold `expected` already.
 std::vector<std::string> UnknownVmsOnceEmptied(const StepPlacement& step,
                                                PoolCapacity& pool,
                                                double wanted, double expected,
-                                               double good_share) {
+                                               double good_share,
+                                               const FitAfterStops& fit) {
   if (expected >= wanted) {
     return {};
   }
@@ -119,18 +127,16 @@
   for (std::size_t i = 0; i < count && fits.size() < kMaxVmsForPreemption;
        ++i) {
     Slot& slot = pool.Slots()[(first + i) % count];
-    const std::int64_t fit =
-        step.HasRequiredLabel(slot) && step.AdviceFor(slot) == nullptr
-            ? step.FitInTime(slot)
-            : 0;
-    if (fit > 0) {
-      fits.push_back({&slot, fit});
+    if (step.HasRequiredLabel(slot) && step.AdviceFor(slot) == nullptr &&
+        step.FitInTime(slot) > 0) {
+      fits.push_back({&slot, fit(slot)});
     }
   }
-  std::stable_sort(
-      fits.begin(), fits.end(), [](const SlotFit& a, const SlotFit& b) {
-        return a.m_slot->m_free.m_cpu_millis > b.m_slot->m_free.m_cpu_millis;
-      });
+  std::stable_sort(fits.begin(), fits.end(),
+                   [](const SlotFit& a, const SlotFit& b) {
+                     return std::pair(a.m_fit, a.m_slot->m_free.m_cpu_millis) >
+                            std::pair(b.m_fit, b.m_slot->m_free.m_cpu_millis);
+                   });
   MoveSlowLast(fits);
   return TakeUntilEnough(fits, expected, wanted, good_share);
 }
@@ -143,6 +149,10 @@
                                    static_cast<double>(vms));
 }
 
+bool IsLongAdviceCall(const QueueRules& queue) {
+  return AdviceCallMs(queue, kTypicalVmsPerAdviceCall) >= kLongAdviceCallMs;
+}
+
 std::vector<SlotFit> RecommendedFits(const StepPlacement& step,
                                      PoolCapacity& pool) {
   std::vector<SlotFit> fits;
@@ -256,16 +266,22 @@
 std::vector<std::string> ChooseVmsForPreemption(const StepPlacement& step,
                                                 PoolCapacity& pool,
                                                 std::int64_t tasks,
-                                                double good_share) {
-  std::int64_t recommended_fit = 0;
+                                                double good_share,
+                                                const FitAfterStops& fit) {
+  std::int64_t after_stops = 0;
+  std::int64_t in_time = 0;
   step.VisitRecommended(pool, [&](const Slot& slot) {
     if (step.HasRequiredLabel(slot)) {
-      recommended_fit += std::min(step.FitInTime(slot), tasks);
+      after_stops += std::min(fit(slot), tasks);
+      in_time += std::min(step.FitInTime(slot), tasks);
     }
   });
-  std::vector<std::string> vms = UnknownVmsOnceEmptied(
-      step, pool, static_cast<double>(tasks) * kChoiceSurplus,
-      static_cast<double>(recommended_fit), good_share);
+  std::vector<std::string> vms;
+  if (in_time < tasks * kMaxChoiceSurplus) {
+    vms = UnknownVmsOnceEmptied(
+        step, pool, static_cast<double>(tasks) * kChoiceSurplus,
+        static_cast<double>(after_stops), good_share, fit);
+  }
   const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
   if (TotalFit(recommended) >= tasks) {
     const std::vector<std::string> expiring = VmsWithExpiringTickets(
--- a/Source/Core/cell/advice_plan.h
+++ b/Source/Core/cell/advice_plan.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -44,15 +45,24 @@
                                           std::int64_t tasks,
                                           double good_share);
 
+// How many members of a gang the VM would hold once the runs there had been
+// stopped that may be stopped for it.
+using FitAfterStops = std::function<std::int64_t(const Slot&)>;
+
 // VMs to request advice on for a gang that may have runs stopped: those without
-// a verdict, whatever runs there, until the recommended ones would hold the
-// gang several times over; new tickets only if it fits now.
+// a verdict, until the recommended ones would hold the gang several times over;
+// new tickets only if it fits now.
 std::vector<std::string> ChooseVmsForPreemption(const StepPlacement& step,
                                                 PoolCapacity& pool,
                                                 std::int64_t tasks,
-                                                double good_share);
+                                                double good_share,
+                                                const FitAfterStops& fit);
 
 // The expected duration of an advice call about this many VMs, in milliseconds.
 std::int64_t AdviceCallMs(const QueueRules& queue, std::size_t vms);
 
+// True if a usual call for the queue takes so long that urgent steps should not
+// wait behind it.
+bool IsLongAdviceCall(const QueueRules& queue);
+
 }  // namespace mustardslip
--- a/Source/Core/cell/advice_queue.h
+++ b/Source/Core/cell/advice_queue.h
@@ -1,6 +1,10 @@
 // Distributes calls to the advice service over the daemons of a cell. The
 // service handles one call at a time per calling VM, so a single daemon could
 // not make the calls for all steps. Used by CellOwner.
+//
+// A short call of an urgent step would wait behind a long one of another step.
+// With a lane for short calls, long ones are made by a part of the daemons
+// only.
 #pragma once
 
 #include <algorithm>
@@ -20,6 +24,8 @@
   // calls would only return outdated advice.
   static constexpr std::size_t kCallsPerDaemon = 2;
 
+  explicit AdviceQueue(bool short_lane = false) : m_short_lane(short_lane) {}
+
   // Daemons are identified by the numbers of their links; 0 is this daemon.
   void AddDaemon(std::uint64_t daemon) { m_daemons[daemon]; }
 
@@ -37,10 +43,19 @@
     return lost;
   }
 
-  std::size_t FreeCalls() const {
-    std::size_t free = 0;
+  FreeAdviceCalls FreeCalls() const {
+    FreeAdviceCalls free;
+    std::size_t unused = DaemonsForFurtherLongCalls();
     for (const auto& [daemon, calls] : m_daemons) {
-      free += kCallsPerDaemon - std::min(kCallsPerDaemon, calls.size());
+      const std::size_t here =
+          kCallsPerDaemon - std::min(kCallsPerDaemon, calls.size());
+      free.m_any += here;
+      if (HasLongCall(calls)) {
+        free.m_long += here;
+      } else if (here > 0 && unused > 0) {
+        free.m_long += here;
+        --unused;
+      }
     }
     return free;
   }
@@ -51,13 +66,15 @@
   };
 
   // Assigns the call to the daemon that can serve it soonest; nullopt if all
-  // daemons have kCallsPerDaemon open calls.
+  // daemons that may make it have kCallsPerDaemon open calls.
   std::optional<Assignment> Assign(const AdviceRequest& ask,
                                    std::int64_t now_ms) {
     std::uint64_t best = 0;
     std::int64_t best_ready_ms = INT64_MAX;
+    const bool any_daemon = !ask.m_long || DaemonsForFurtherLongCalls() > 0;
     for (const auto& [daemon, calls] : m_daemons) {
-      if (calls.size() >= kCallsPerDaemon) {
+      if (calls.size() >= kCallsPerDaemon ||
+          (!any_daemon && !HasLongCall(calls))) {
         continue;
       }
       std::int64_t ready_ms = now_ms;
@@ -111,6 +128,9 @@
  private:
   // A call times out this long after its expected end.
   static constexpr std::int64_t kAnswerGraceMs = 1'200;
+  // Share of the daemons that make no long calls, rounded down: short calls
+  // together take far less of the service's time than long ones.
+  static constexpr std::size_t kShortLanePercent = 20;
 
   struct Call {
     AdviceRequest m_advice_request;
@@ -118,7 +138,27 @@
     std::int64_t m_deadline_ms = 0;
   };
 
-  std::map<std::uint64_t, std::map<std::uint64_t, Call>> m_daemons;
+  // By number.
+  using Calls = std::map<std::uint64_t, Call>;
+
+  static bool HasLongCall(const Calls& calls) {
+    return std::any_of(calls.begin(), calls.end(), [](const auto& call) {
+      return call.second.m_advice_request.m_long;
+    });
+  }
+
+  // Daemons without a long call that may make one.
+  std::size_t DaemonsForFurtherLongCalls() const {
+    const auto without = static_cast<std::size_t>(std::count_if(
+        m_daemons.begin(), m_daemons.end(),
+        [](const auto& one) { return !HasLongCall(one.second); }));
+    const std::size_t kept =
+        m_short_lane ? m_daemons.size() * kShortLanePercent / 100 : 0;
+    return without - std::min(without, kept);
+  }
+
+  const bool m_short_lane;
+  std::map<std::uint64_t, Calls> m_daemons;
   std::uint64_t m_last_number = 0;
 };
 
--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -328,7 +328,8 @@
   }
 }
 
-void CellCore::Schedule(const CellTime& now, std::size_t free_advice_calls,
+void CellCore::Schedule(const CellTime& now,
+                        const FreeAdviceCalls& free_advice_calls,
                         std::int64_t max_start_bytes) {
   // A planned run reserves capacity, so nothing is planned that cannot be
   // written.
@@ -357,9 +358,9 @@
 }
 
 void CellCore::RequestAdviceAhead(const CellTime& now,
-                                  std::size_t free_advice_calls) {
+                                  const FreeAdviceCalls& free_advice_calls) {
   if (!m_configured || !m_zones_known || !m_store_writable || m_ready.Empty() ||
-      free_advice_calls == 0) {
+      free_advice_calls.m_any == 0) {
     return;
   }
   ScheduleResult result = m_scheduler.Decide(
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -127,11 +127,12 @@
   // Plans starts if the state changed since the last call, of about
   // `max_start_bytes` together. Opens at most `free_advice_calls` calls to the
   // advice service.
-  void Schedule(const CellTime& now, std::size_t free_advice_calls,
+  void Schedule(const CellTime& now, const FreeAdviceCalls& free_advice_calls,
                 std::int64_t max_start_bytes = kUnlimitedStartBytes);
   // Requests advice for the next call of Schedule without planning starts. Used
   // while a log write is in flight.
-  void RequestAdviceAhead(const CellTime& now, std::size_t free_advice_calls);
+  void RequestAdviceAhead(const CellTime& now,
+                          const FreeAdviceCalls& free_advice_calls);
 
   // --- Log ---
   bool HasOpenBatch() const { return !m_open.m_records.empty(); }
--- a/Source/Core/cell/cell_core_test.cc
+++ b/Source/Core/cell/cell_core_test.cc
@@ -94,7 +94,7 @@
   QueueRules queue = m_cell.Queue();
   queue.m_needs_advice = true;
   m_cell.Submit(m_cell.Job(2, {CellHarness::Step(1, 1'000)}, queue));
-  m_cell.Core().RequestAdviceAhead(m_cell.Now(), 4);
+  m_cell.Core().RequestAdviceAhead(m_cell.Now(), {4, 4});
   m_cell.Pump();
   EXPECT_EQ(m_cell.m_asked.size(), 1U);
   EXPECT_TRUE(m_cell.m_starts.empty());
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -297,7 +297,7 @@
   // executes the effects.
   void Pump() {
     for (int round = 0; round < 4; ++round) {
-      m_core->Schedule(Now(), kFreeAdviceCalls);
+      m_core->Schedule(Now(), {kFreeAdviceCalls, kFreeAdviceCalls});
       ExecuteEffects();
       if (!m_store_up || m_core->HasBatchInFlight()) {
         return;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -91,8 +91,8 @@
         m_holder(vms, loop, m_core, owner.m_revision,
                  {[this] { SchedulePump(); }, [this] { Superseded(); }},
                  m_options.m_max_long_polls),
-        m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs,
-                  VmHandlers()) {
+        m_vm_feed(store, loop, m_options.m_vm_prefix, kVmWatchMs, VmHandlers()),
+        m_advice_queue(m_options.m_features.m_short_advice_lane) {
     m_advice_queue.AddDaemon(kThisDaemon);
     if (m_options.m_zones.Enabled()) {
       m_zone_feed.emplace(store, loop, m_core, m_options.m_zones,
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -66,6 +66,9 @@
   // Learns which tasks slow each other down on one VM, and keeps them apart
   // where there is room.
   bool m_avoid_contention = false;
+  // Keeps some daemons free of long calls to the advice service, for short
+  // ones (AdviceQueue).
+  bool m_short_advice_lane = false;
 
   bool operator==(const CellFeatures&) const = default;
 };
@@ -162,6 +165,17 @@
   std::vector<std::string> m_vms;
   // Expected duration of the call, in milliseconds.
   std::int64_t m_expected_ms = 0;
+  // IsLongAdviceCall of the step's queue. Not part of messages between daemons.
+  bool m_long = false;
+};
+
+// How many calls to the advice service can be opened now.
+struct FreeAdviceCalls {
+  std::size_t m_any = 0;
+  // Of them, those that may be long.
+  std::size_t m_long = 0;
+
+  bool operator==(const FreeAdviceCalls&) const = default;
 };
 
 struct ReplyToCaller {
--- a/Source/Core/cell/preemption_test.cc
+++ b/Source/Core/cell/preemption_test.cc
@@ -237,6 +237,41 @@
   }
 }
 
+// Fails if a gang knows enough VMs that would hold it some day, but none that
+// can be emptied for it, and asks about no others.
+TEST_F(GangPreemptionTest, GangAsksUntilItKnowsVmsThatCanBeEmptied) {
+  constexpr int kMoreVms = 60;
+  for (int i = kVms; i < kMoreVms; ++i) {
+    m_cell.AddVm("vm-" + std::to_string(i), kVmCapacity);
+  }
+  m_cell.Run(100);
+  // One run on each VM; those of even number cannot be stopped.
+  const auto runs_fixed_task = [](const std::string& vm) {
+    return std::stoi(vm.substr(3)) % 2 == 0;
+  };
+  StepSpec fixed = CellHarness::Step(kMoreVms / 2, 64'000);
+  StepSpec batch = CellHarness::Step(2 * kMoreVms, 64'000);
+  batch.m_checkpoint = true;
+  QueueRules advised = QueueOf(2);
+  advised.m_needs_advice = true;
+  m_cell.m_advice = runs_fixed_task;
+  m_cell.Submit(m_cell.Job(3, {fixed}, advised));
+  m_cell.Run(500);
+  ASSERT_EQ(m_cell.RunningOf(3), kMoreVms / 2);
+  m_cell.Submit(m_cell.Job(kBatchJob, {batch}, QueueOf(2)));
+  m_cell.Run(500);
+  ASSERT_EQ(m_cell.RunningOf(kBatchJob), kMoreVms / 2);
+
+  advised.m_priority = 1;
+  m_cell.m_advice = [&](const std::string& vm) {
+    return runs_fixed_task(vm) || vm == "vm-1" || vm == "vm-21" ||
+           vm == "vm-41" || vm == "vm-59";
+  };
+  SubmitGang(advised);
+  m_cell.Run(1'000);
+  EXPECT_EQ(m_cell.RunningOf(kGangJob), kMembers);
+}
+
 // Fails if a gang keeps room for ever on VMs one of which has gone silent after
 // the stops: neither the gang nor others would run there.
 TEST_F(GangPreemptionTest, SilentVmEndsTheReservation) {
--- a/Source/Core/cell/scheduler.cc
+++ b/Source/Core/cell/scheduler.cc
@@ -18,7 +18,7 @@
 
 ScheduleResult Scheduler::Decide(CellState& state, const ReadySteps& ready,
                                  const CellRules& rules, const CellTime& now,
-                                 std::size_t free_advice_calls,
+                                 const FreeAdviceCalls& free_advice_calls,
                                  std::int64_t max_start_bytes,
                                  const VmSpeeds* speeds, PassKind kind) {
   return SchedulingPass(*this, state, rules, now, free_advice_calls,
--- a/Source/Core/cell/scheduler.h
+++ b/Source/Core/cell/scheduler.h
@@ -70,7 +70,7 @@
   // `speeds` all VMs are taken to be equally fast.
   ScheduleResult Decide(CellState& state, const ReadySteps& ready,
                         const CellRules& rules, const CellTime& now,
-                        std::size_t free_advice_calls,
+                        const FreeAdviceCalls& free_advice_calls,
                         std::int64_t max_start_bytes = kUnlimitedStartBytes,
                         const VmSpeeds* speeds = nullptr,
                         PassKind kind = PassKind::kPlan);
--- a/Source/Core/cell/scheduler_load_test.cc
+++ b/Source/Core/cell/scheduler_load_test.cc
@@ -226,7 +226,7 @@
   CellCore& core = m_cell.Core();
   std::vector<std::size_t> planned;
   do {
-    core.Schedule(m_cell.Now(), 0, kMaxStartBytes);
+    core.Schedule(m_cell.Now(), {}, kMaxStartBytes);
     if (!core.HasOpenBatch()) {
       break;
     }
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -33,7 +33,7 @@
 
 SchedulingPass::SchedulingPass(Scheduler& scheduler, CellState& state,
                                const CellRules& rules, const CellTime& now,
-                               std::size_t free_advice_calls,
+                               const FreeAdviceCalls& free_advice_calls,
                                std::int64_t max_start_bytes,
                                const VmSpeeds* speeds, PassKind kind)
     : m_scheduler(scheduler),
@@ -150,7 +150,8 @@
   step.SetSpeedWish(SpeedWishOf(ready, pool.m_capacity, m_now.m_unix_ms));
   const bool may_start =
       step.MayHaveTickets() && pool.m_capacity.HasRoom(step.Spec().Charge());
-  const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
+  const bool may_ask =
+      step.NeedsAdvice() && MayRequestAdvice(step.Queue(), state);
   if (!may_start && !may_ask && !pending) {
     return;
   }
@@ -289,8 +290,12 @@
           slot.m_free.m_cpu_millis};
 }
 
-bool SchedulingPass::MayRequestAdvice(const StepState& step) const {
-  return m_result.m_advice_requests.size() < m_free_advice_calls &&
+bool SchedulingPass::MayRequestAdvice(const QueueRules& queue,
+                                      const StepState& step) const {
+  const bool lane_has_room = !IsLongAdviceCall(queue) ||
+                             m_long_advice_calls < m_free_advice_calls.m_long;
+  return lane_has_room &&
+         m_result.m_advice_requests.size() < m_free_advice_calls.m_any &&
          step.m_pending_advice_vms.empty() &&
          step.m_next_advice_call_ms <= m_now.m_steady_ms;
 }
@@ -307,6 +312,8 @@
   AdviceRequest request;
   request.m_step = step.Step().Ref();
   request.m_expected_ms = AdviceCallMs(step.Queue(), vms.size());
+  request.m_long = IsLongAdviceCall(step.Queue());
+  m_long_advice_calls += request.m_long ? 1 : 0;
   step.State().m_pending_advice_vms = vms;
   step.State().m_next_advice_call_ms = m_now.m_steady_ms + kAdviceIntervalMs;
   request.m_vms = std::move(vms);
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -24,7 +24,7 @@
 class SchedulingPass {
  public:
   SchedulingPass(Scheduler& scheduler, CellState& state, const CellRules& rules,
-                 const CellTime& now, std::size_t free_advice_calls,
+                 const CellTime& now, const FreeAdviceCalls& free_advice_calls,
                  std::int64_t max_start_bytes, const VmSpeeds* speeds,
                  PassKind kind);
   ScheduleResult Run(const ReadySteps& ready);
@@ -76,7 +76,7 @@
   static void KeepApart(Pool& pool, Slot& slot);
 
   // --- Advice ---
-  bool MayRequestAdvice(const StepState& step) const;
+  bool MayRequestAdvice(const QueueRules& queue, const StepState& step) const;
   double GoodShare(const StepPlacement& step) const;
   void RequestAdvice(const StepPlacement& step, std::vector<std::string> vms);
   static void ReserveForPendingAdvice(const StepPlacement& step,
@@ -135,6 +135,7 @@
   bool ServeReservation(const StepRef& ref);
   bool MayPreemptFor(const ReadyStep& ready, const Pool& pool) const;
   bool ReserveByPreemption(StepPlacement& step, Pool& pool, std::int64_t tasks);
+  std::int64_t FitAfterStopsFor(const StepPlacement& step, const Slot& slot);
   std::vector<GangReservation::Vm> ChooseVmsToReserve(const StepPlacement& step,
                                                       Pool& pool,
                                                       std::int64_t tasks);
@@ -149,7 +150,7 @@
   CellState& m_state;
   const CellRules& m_rules;
   const CellTime m_now;
-  const std::size_t m_free_advice_calls;
+  const FreeAdviceCalls m_free_advice_calls;
   const PassKind m_kind;
   std::int64_t m_start_bytes_left;
   // By service.
@@ -165,6 +166,8 @@
   std::set<RunKey> m_preempted;
   // Capacity of runs on the VM that reservations count on already.
   std::map<const VmState*, Resources> m_claimed;
+  // Requests of m_result that open a long call.
+  std::size_t m_long_advice_calls = 0;
   ScheduleResult m_result;
 };
 
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -183,7 +183,8 @@
     NoteWait(step, *cause, {});
     return;
   }
-  const bool may_ask = step.NeedsAdvice() && MayRequestAdvice(state);
+  const bool may_ask =
+      step.NeedsAdvice() && MayRequestAdvice(step.Queue(), state);
   const bool may_reserve =
       overdue || pool.m_reserving_gangs < pool.m_max_reserving_gangs;
   if (!step.MayHaveTickets() && !may_ask && !may_reserve) {
@@ -209,10 +210,15 @@
   if (MayPreemptFor(ready, pool) && ReserveByPreemption(step, pool, tasks)) {
     return;
   }
-  if (may_ask) {
-    const auto choose =
-        pool.m_preempts ? ChooseVmsForPreemption : ChooseVmsForGang;
-    RequestAdvice(step, choose(step, pool.m_capacity, tasks, GoodShare(step)));
+  if (may_ask && pool.m_preempts) {
+    RequestAdvice(
+        step, ChooseVmsForPreemption(step, pool.m_capacity, tasks,
+                                     GoodShare(step), [&](const Slot& slot) {
+                                       return FitAfterStopsFor(step, slot);
+                                     }));
+  } else if (may_ask) {
+    RequestAdvice(
+        step, ChooseVmsForGang(step, pool.m_capacity, tasks, GoodShare(step)));
   }
   if (may_reserve) {
     ReserveForGang(step, pool, tasks);
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -129,7 +129,7 @@
   state.m_reservation.m_vms = std::move(vms);
   const std::vector<std::string> missing =
       VmsWithoutTicket(step, pool, kStopAndStartMs);
-  if (!missing.empty() && !MayRequestAdvice(state)) {
+  if (!missing.empty() && !MayRequestAdvice(step.Queue(), state)) {
     state.m_reservation = {};
     return false;
   }
@@ -146,20 +146,26 @@
   return true;
 }
 
+// How many members fit on the VM once less urgent runs have been stopped there
+// that no other gang counts on.
+std::int64_t SchedulingPass::FitAfterStopsFor(const StepPlacement& step,
+                                              const Slot& slot) {
+  Slot emptied = slot;
+  const Resources capacity = PreemptibleCapacity(PreemptibleRunsOn(*slot.m_vm),
+                                                 step.Queue().m_priority) -
+                             m_claimed[slot.m_vm];
+  emptied.m_free = slot.m_free + Max(capacity, {});
+  return step.Fit(emptied);
+}
+
 // The recommended VMs that hold the gang once less urgent runs have been
 // stopped there, those with the most free room first. Empty if they do not.
 std::vector<GangReservation::Vm> SchedulingPass::ChooseVmsToReserve(
     const StepPlacement& step, Pool& pool, std::int64_t tasks) {
   // How many members fit after the stops.
   std::vector<SlotFit> candidates;
-  const std::int64_t priority = step.Queue().m_priority;
   VisitAllowed(step, pool.m_capacity, [&](Slot& slot) {
-    Slot emptied = slot;
-    const Resources capacity =
-        PreemptibleCapacity(PreemptibleRunsOn(*slot.m_vm), priority) -
-        m_claimed[slot.m_vm];
-    emptied.m_free = slot.m_free + Max(capacity, {});
-    const std::int64_t fit = step.Fit(emptied);
+    const std::int64_t fit = FitAfterStopsFor(step, slot);
     if (fit > 0) {
       candidates.push_back({&slot, fit});
     }
--- a/Source/Core/cell/vm_poller_test.cc
+++ b/Source/Core/cell/vm_poller_test.cc
@@ -102,7 +102,7 @@
     step.m_resources = {64'000, 0, 0};
     spec.m_steps = {step};
     m_core.Submit(1, spec, m_loop.Now());
-    m_core.Schedule(m_loop.Now(), 0);
+    m_core.Schedule(m_loop.Now(), {});
     m_core.BeginBatch();
     m_core.OnDurable(m_loop.Now());
   }
--- a/Source/Core/cell/zone_fixture.h
+++ b/Source/Core/cell/zone_fixture.h
@@ -15,7 +15,7 @@
 
 // Two tasks of this size do not fit on a VM.
 inline constexpr std::int64_t kLargeTask = 40'000;
-inline constexpr std::size_t kFreeCalls = 16;
+inline constexpr FreeAdviceCalls kFreeCalls{16, 16};
 
 inline StepSpec GangStep(std::uint32_t count, std::int64_t cpu) {
   StepSpec gang = CellHarness::Step(count, cpu);
--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -182,7 +182,9 @@
   }
 
   void Commit() {
-    Measure(Event::kSchedule, [&] { m_core.Schedule(Now(), FreeCalls()); });
+    Measure(Event::kSchedule, [&] {
+      m_core.Schedule(Now(), {FreeCalls(), FreeCalls()});
+    });
     ExecuteEffects();
     if (m_core.HasOpenBatch()) {
       Measure(Event::kDurable, [&] {
