Daemons that the store turns away learn the owner from other daemons

Another daemon takes the cell within 1 s; those that cannot read its record found no owner, and answered 504 to what they got until the platform sent them nothing more: 494 such answers to work that reached no VM.

Change: the owner names a few daemons to all others in its pings. A daemon that cannot read the record asks one of them each 100 ms (OwnerLocator), and connects to the owner that it names. An older record than the known one is ignored.

--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -21,6 +21,7 @@
 #include "cell/configuration_view.h"
 #include "cell/handover.h"
 #include "cell/owner_contact.h"
+#include "cell/owner_locator.h"
 #include "cell/ownership.h"
 #include "cell/prefix_feed.h"
 #include "common/callback_guard.h"
@@ -74,7 +75,9 @@
                        OnOwnerChanged(owner);
                      }}),
         m_configuration_feed(store, reactor, m_options.m_configuration_key,
-                             kConfigurationWatchMs, ConfigurationHandlers()) {}
+                             kConfigurationWatchMs, ConfigurationHandlers()),
+        m_locator(reactor,
+                  [this](const OwnerRecord& owner) { OnOwnerHinted(owner); }) {}
 
   CellNode(const CellNode&) = delete;
   CellNode& operator=(const CellNode&) = delete;
@@ -83,6 +86,7 @@
     m_configuration_feed.Start();
     m_ownership.Start();
     Tick();
+    LocateOwner();
   }
 
   // Resigns the ownership once nothing is in flight. The daemon continues to
@@ -115,6 +119,11 @@
  private:
   static constexpr std::int64_t kConfigurationWatchMs = 1'000;
   static constexpr std::int64_t kPingMs = 400;
+  // While the owner is unknown here, another daemon is asked this often.
+  static constexpr std::int64_t kLocateMs = 100;
+  // The owner names so many daemons to all others at this interval.
+  static constexpr std::size_t kDaemonsNamed = 4;
+  static constexpr std::int64_t kNameDaemonsMs = 4'000;
   // A link that receives nothing for this long is closed.
   static constexpr std::int64_t kLinkTimeoutMs = 1'700;
   static constexpr std::int64_t kReconnectMs = 60;
@@ -129,6 +138,8 @@
     std::int64_t m_last_received_ms = 0;
     std::int64_t m_accepted_ms = 0;
     std::int64_t m_cpu_millis = 0;
+    // Where the daemon listens for links.
+    std::string m_link_address;
     bool m_hello_received = false;
     bool m_welcome_sent = false;
   };
@@ -270,12 +281,44 @@
       return;
     }
     m_known_owner = owner;
+    if (owner) {
+      AddDaemonAddress(owner->m_address);
+    }
     if (m_link && (!owner || owner->m_revision != m_link_revision)) {
       CloseOwnerLink();
     }
     Connect();
   }
 
+  void AddDaemonAddress(const std::string& text) {
+    const auto address = ParseEndpoint(text);
+    if (address && *address != m_options.m_link_address) {
+      m_locator.AddDaemon(*address);
+    }
+  }
+
+  // Another daemon named the owner while this one cannot read its record. An
+  // older one than this daemon knows is not the owner any more.
+  void OnOwnerHinted(const OwnerRecord& owner) {
+    if (m_owner || m_entry.Connected() || !m_configuration_feed.Failing() ||
+        (m_known_owner && owner.m_revision < m_known_owner->m_revision)) {
+      return;
+    }
+    Log(LogLevel::kInfo, LogCategory::kMembership, "owner_hinted",
+        {{"revision", owner.m_revision}, {"address", owner.m_address}});
+    OnOwnerChanged(owner);
+  }
+
+  // Asks other daemons for the owner while it is unknown here.
+  void LocateOwner() {
+    if (m_owner || m_entry.Connected() || !m_configuration_feed.Failing()) {
+      m_locator.Stop();
+    } else if (m_contact.EverConnected()) {
+      m_locator.Ask();
+    }
+    RunAfter(kLocateMs, [this] { LocateOwner(); });
+  }
+
   // --- Link to the owner ---
 
   void Connect() {
@@ -307,6 +350,7 @@
     hello.m_kind = LinkMessageKind::kHello;
     hello.m_instance = m_options.m_ownership.m_instance;
     hello.m_cpu_millis = m_options.m_ownership.m_cpu_millis;
+    hello.m_link_address = ToString(m_options.m_link_address);
     m_link->Send(EncodeLinkMessage(hello));
   }
 
@@ -368,6 +412,9 @@
 
   void OnOwnerPing(const LinkMessage& message) {
     m_link_store_away = message.m_store_away;
+    for (const std::string& daemon : message.m_daemons) {
+      AddDaemonAddress(daemon);
+    }
     if (m_entry.Connected()) {
       m_contact.OnConnected(m_reactor.Now().m_steady_ms, OwnerWritesToStore());
     }
@@ -457,11 +504,15 @@
         peer.m_hello_received = true;
         peer.m_link->SetMaxMessageBytes(MessageLink::kMaxMessageBytes);
         peer.m_cpu_millis = message->m_cpu_millis;
+        peer.m_link_address = message->m_link_address;
         AnswerHello(number, peer);
         break;
       case LinkMessageKind::kRequest:
         OnPeerRequest(number, *message);
         break;
+      case LinkMessageKind::kOwnerQuery:
+        SendTo(number, OwnerHint());
+        break;
       case LinkMessageKind::kAdviceAnswer:
         if (m_owner) {
           m_owner->OnRemoteAdvice(number, message->m_number, message->m_advice);
@@ -472,6 +523,18 @@
     }
   }
 
+  // Names the owner that this daemon is connected to, or itself.
+  LinkMessage OwnerHint() const {
+    LinkMessage hint;
+    hint.m_kind = LinkMessageKind::kOwnerHint;
+    if (m_owner) {
+      hint.m_owner = m_owner->Record();
+    } else if (m_entry.Connected()) {
+      hint.m_owner = m_known_owner;
+    }
+    return hint;
+  }
+
   void AnswerHello(std::uint64_t number, Peer& peer) {
     if (!peer.m_hello_received || peer.m_welcome_sent) {
       return;
@@ -554,6 +617,10 @@
     LinkMessage ping;
     ping.m_kind = LinkMessageKind::kPing;
     ping.m_store_away = m_owner && !m_owner->Core().StoreWritable();
+    if (m_owner && now_ms - m_daemons_named_ms >= kNameDaemonsMs) {
+      m_daemons_named_ms = now_ms;
+      ping.m_daemons = NextDaemons();
+    }
     const RpcMessage encoded = EncodeLinkMessage(ping);
     if (m_link) {
       if (now_ms - m_link_last_received_ms > kLinkTimeoutMs) {
@@ -575,6 +642,24 @@
     }
   }
 
+  // The addresses of a few peers, others at each call.
+  std::vector<std::string> NextDaemons() {
+    std::vector<std::string> daemons;
+    auto peer = m_peers.upper_bound(m_last_named_peer);
+    for (std::size_t seen = 0;
+         seen < m_peers.size() && daemons.size() < kDaemonsNamed; ++seen) {
+      if (peer == m_peers.end()) {
+        peer = m_peers.begin();
+      }
+      if (!peer->second.m_link_address.empty()) {
+        daemons.push_back(peer->second.m_link_address);
+      }
+      m_last_named_peer = peer->first;
+      ++peer;
+    }
+    return daemons;
+  }
+
   void CheckHandover(std::int64_t now_ms) {
     if (!m_owner || !m_owner->Ready()) {
       return;
@@ -636,6 +721,9 @@
   std::int64_t m_link_last_received_ms = 0;
   std::map<std::uint64_t, Peer> m_peers;
   std::uint64_t m_last_peer = 0;
+  // The last peer of NextDaemons(), and when it was called (steady clock).
+  std::uint64_t m_last_named_peer = 0;
+  std::int64_t m_daemons_named_ms = 0;
   HandoverPolicy m_handover;
   // Steady clock: when the owner in this daemon became ready.
   std::int64_t m_owner_ready_ms = 0;
@@ -654,6 +742,7 @@
   std::int64_t m_drain_started_ms = 0;
   Ownership<Store, Reactor> m_ownership;
   PrefixFeed<Store, Reactor> m_configuration_feed;
+  OwnerLocator m_locator;
 };
 
 }  // namespace mustardslip
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -63,6 +63,15 @@
   return advice;
 }
 
+json OwnerToJson(const OwnerRecord& owner) {
+  return json::array({owner.m_instance, owner.m_address, owner.m_cpu_millis,
+                      owner.m_revision});
+}
+
+OwnerRecord OwnerFromJson(const json& value) {
+  return {value.at(0), value.at(1), value.at(2), value.at(3)};
+}
+
 void EncodeRequest(const CellRequest& request, RpcMessage& message) {
   message.m_header["m"] = request.m_method;
   message.m_header["q"] = request.m_queue;
@@ -112,7 +121,9 @@
     case LinkMessageKind::kTakeoverRequest:
       decoded.m_instance = header.value("i", "");
       decoded.m_cpu_millis = header.value("p", std::int64_t{0});
+      decoded.m_link_address = header.value("l", "");
       decoded.m_store_away = header.value("w", false);
+      decoded.m_daemons = header.value("d", std::vector<std::string>{});
       break;
     case LinkMessageKind::kRequest: {
       auto request = DecodeRequest(message);
@@ -138,6 +149,13 @@
     case LinkMessageKind::kAdviceAnswer:
       decoded.m_advice = AdviceFromJson(header.at("a"));
       break;
+    case LinkMessageKind::kOwnerQuery:
+      break;
+    case LinkMessageKind::kOwnerHint:
+      if (header.contains("o")) {
+        decoded.m_owner = OwnerFromJson(header.at("o"));
+      }
+      break;
     default:
       return Fail(ErrorCode::kInvalidArgument, "unknown_message");
   }
@@ -179,9 +197,15 @@
       if (message.m_cpu_millis != 0) {
         encoded.m_header["p"] = message.m_cpu_millis;
       }
+      if (!message.m_link_address.empty()) {
+        encoded.m_header["l"] = message.m_link_address;
+      }
       if (message.m_store_away) {
         encoded.m_header["w"] = true;
       }
+      if (!message.m_daemons.empty()) {
+        encoded.m_header["d"] = message.m_daemons;
+      }
       break;
     case LinkMessageKind::kRequest:
       EncodeRequest(message.m_request, encoded);
@@ -197,6 +221,13 @@
     case LinkMessageKind::kAdviceAnswer:
       encoded.m_header["a"] = AdviceToJson(message.m_advice);
       break;
+    case LinkMessageKind::kOwnerQuery:
+      break;
+    case LinkMessageKind::kOwnerHint:
+      if (message.m_owner) {
+        encoded.m_header["o"] = OwnerToJson(*message.m_owner);
+      }
+      break;
   }
   return encoded;
 }
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cell/cell_types.h"
+#include "cell/owner_record.h"
 #include "cell/workflow.h"
 #include "transport/message.h"
 #include "transport/traffic_meter.h"
@@ -41,6 +42,10 @@
   // The owner asks the receiver to take over the cell: the owner cannot write
   // to the store, or the receiver has far more processor time.
   kTakeoverRequest,
+  // A daemon that cannot read the owner's record asks another one for it;
+  // answered by kOwnerHint.
+  kOwnerQuery,
+  kOwnerHint,
 };
 
 struct LinkMessage {
@@ -51,12 +56,19 @@
   std::string m_instance;
   // kHello: the sender's processor capacity, in thousandths of a core.
   std::int64_t m_cpu_millis = 0;
+  // kHello: where the sender listens for links.
+  std::string m_link_address;
   // kPing of an owner: the store does not take its writes.
   bool m_store_away = false;
+  // kPing of an owner: where some of the cell's daemons listen for links; empty
+  // in most pings.
+  std::vector<std::string> m_daemons;
   CellRequest m_request;
   CellAnswer m_answer;
   AdviceRequest m_advice_request;
   AdviceAnswer m_advice;
+  // kOwnerHint: empty if the sender is connected to no owner.
+  std::optional<OwnerRecord> m_owner;
 };
 
 // What an encoded message is for, by its kind.
