Passes of an overloaded pool cost less; a tenth of the daemons is the short lane

On the large site the owner's processor was used up: each waiting gang looked at all VMs in each pass, and passes that only request advice ran each 40 ms beside a slow write, which they delayed. On the small one, one of seven daemons made no long calls.

Change: a gang that cannot start in an overloaded pool is tried again after 100 ms or when advice arrives, and looks for further VMs after 250 ms if it knew enough; the capacity of preemptible runs is kept in a pass by VM and priority; passes beside a write pause for four times their own time, and count in the work report.

--- a/Source/Core/cell/advice_plan.cc
+++ b/Source/Core/cell/advice_plan.cc
@@ -268,19 +268,22 @@
                                                 std::int64_t tasks,
                                                 double good_share,
                                                 const FitAfterStops& fit) {
-  std::int64_t after_stops = 0;
-  std::int64_t in_time = 0;
-  step.VisitRecommended(pool, [&](const Slot& slot) {
-    if (step.HasRequiredLabel(slot)) {
-      after_stops += std::min(fit(slot), tasks);
-      in_time += std::min(step.FitInTime(slot), tasks);
-    }
-  });
+  const auto held = [&](const auto& fit_on) {
+    std::int64_t members = 0;
+    step.VisitRecommended(pool, [&](const Slot& slot) {
+      if (step.HasRequiredLabel(slot)) {
+        members += std::min(fit_on(slot), tasks);
+      }
+    });
+    return members;
+  };
+  const std::int64_t in_time =
+      held([&](const Slot& slot) { return step.FitInTime(slot); });
   std::vector<std::string> vms;
   if (in_time < tasks * kMaxChoiceSurplus) {
     vms = UnknownVmsOnceEmptied(
         step, pool, static_cast<double>(tasks) * kChoiceSurplus,
-        static_cast<double>(after_stops), good_share, fit);
+        static_cast<double>(held(fit)), good_share, fit);
   }
   const std::vector<SlotFit> recommended = RecommendedFits(step, pool);
   if (TotalFit(recommended) >= tasks) {
--- a/Source/Core/cell/advice_queue.h
+++ b/Source/Core/cell/advice_queue.h
@@ -130,7 +130,7 @@
   static constexpr std::int64_t kAnswerGraceMs = 1'200;
   // Share of the daemons that make no long calls, rounded down: short calls
   // together take far less of the service's time than long ones.
-  static constexpr std::size_t kShortLanePercent = 20;
+  static constexpr std::size_t kShortLanePercent = 10;
 
   struct Call {
     AdviceRequest m_advice_request;
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -339,6 +339,7 @@
   }
   StepState& step = *found;
   step.m_pending_advice_vms.clear();
+  step.m_next_attempt_ms = 0;
   m_dirty = true;
   if (!answer.m_ok) {
     step.m_next_advice_call_ms = now.m_steady_ms + kRetryAdviceMs;
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -178,6 +178,7 @@
     return !m_log.Writing() && !m_core.HasOpenBatch() && m_submissions.Empty();
   }
 
+  const OwnerRecord& Record() const { return m_owner; }
   const CellCore& Core() const { return m_core; }
   // The time that this owner has spent so far.
   const WorkMeter& Work() const { return m_work; }
@@ -192,6 +193,9 @@
   // While a log write takes longer than this, advice is requested at this
   // interval.
   static constexpr std::int64_t kAdvicePrefetchMs = 40;
+  // Pause after such a pass, as a multiple of the time that it took: on a small
+  // processor the passes would delay the write that they wait for.
+  static constexpr std::int64_t kPrefetchPause = 4;
   static constexpr std::int64_t kStuckReportIntervalMs = 1'000;
   static constexpr std::int64_t kRetryUnconfirmedMs = 1'000;
   // A log write pending for longer than this means that the store accepts none.
@@ -353,10 +357,8 @@
     if (m_log.Writing()) {
       // Uses the wait for a slow store to fetch advice for the next batch.
       if (m_log.StalledMs() >= kAdvicePrefetchMs &&
-          now.m_steady_ms - m_last_prefetch_ms >= kAdvicePrefetchMs) {
-        m_last_prefetch_ms = now.m_steady_ms;
-        m_core.RequestAdviceAhead(now, m_advice_queue.FreeCalls());
-        ExecuteEffects();
+          now.m_steady_ms >= m_next_prefetch_ms) {
+        PrefetchAdvice(now);
       }
       return;
     }
@@ -378,6 +380,18 @@
     }
   }
 
+  void PrefetchAdvice(const CellTime& now) {
+    {
+      const ScopedTimer timer(m_work.Spent(WorkKind::kSchedule));
+      m_core.RequestAdviceAhead(now, m_advice_queue.FreeCalls());
+    }
+    ExecuteEffects();
+    const std::int64_t ended_ms = m_loop.Now().m_steady_ms;
+    m_next_prefetch_ms =
+        ended_ms + std::max(kAdvicePrefetchMs,
+                            kPrefetchPause * (ended_ms - now.m_steady_ms));
+  }
+
   void CommitLater(std::int64_t wait_ms) {
     if (m_commit_pending) {
       return;
@@ -553,7 +567,7 @@
   bool m_commit_pending = false;
   std::int64_t m_started_ms = 0;
   std::int64_t m_last_commit_ms = 0;
-  std::int64_t m_last_prefetch_ms = 0;
+  std::int64_t m_next_prefetch_ms = 0;
   std::int64_t m_last_renewal_ms = 0;
   std::int64_t m_stuck_reported_ms = 0;
 };
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -176,6 +176,9 @@
   std::int64_t m_next_size_check_ms = 0;
   // Volatile, gangs only: VMs on which room is being made.
   GangReservation m_reservation;
+  // Volatile, gangs only: in an overloaded pool the step is tried again at this
+  // time, or when advice arrives (owner's steady clock).
+  std::int64_t m_next_attempt_ms = 0;
   // Volatile: latest end of a ticket in m_advice, on the owner's steady clock.
   std::int64_t m_tickets_until_ms = 0;
   // Volatile: set while the step is in ReadySteps, which maintains it.
--- a/Source/Core/cell/preemption.cc
+++ b/Source/Core/cell/preemption.cc
@@ -23,10 +23,12 @@
                      RunProgress::kWholePercent);
 }
 
-bool MayBeStopped(const StepSpec& spec, const TaskState& task,
-                  const OpenRun& run) {
-  return spec.m_checkpoint && !spec.m_gang && !spec.m_long_lived &&
-         task.m_preemptions < kMaxPreemptionsPerTask &&
+bool MayBePreempted(const StepSpec& spec) {
+  return spec.m_checkpoint && !spec.m_gang && !spec.m_long_lived;
+}
+
+bool MayBeStopped(const TaskState& task, const OpenRun& run) {
+  return task.m_preemptions < kMaxPreemptionsPerTask &&
          run.m_phase == RunPhase::kRunning && !run.m_progress.WorkDone();
 }
 
@@ -37,14 +39,18 @@
   std::vector<PreemptibleRun> runs;
   for (const auto& [key, charge] : vm.m_open) {
     const Job* job = state.FindJob(key.first.m_job);
+    if (job == nullptr || job->Ended() ||
+        !MayBePreempted(job->m_spec.m_steps[key.first.m_step])) {
+      continue;
+    }
     const OpenRun* run = state.FindRun(key.first, key.second);
-    if (job == nullptr || run == nullptr || job->Ended()) {
+    if (run == nullptr) {
       continue;
     }
     const StepSpec& spec = job->m_spec.m_steps[key.first.m_step];
     const std::int64_t left_ms = LeftMs(spec, *run);
     if (left_ms >= kMinLeftMs &&
-        MayBeStopped(spec, *state.FindTask(key.first), *run)) {
+        MayBeStopped(*state.FindTask(key.first), *run)) {
       runs.push_back(
           {key, job->m_spec.m_queue.m_priority, charge.m_amount, left_ms});
     }
@@ -56,15 +62,20 @@
   return runs;
 }
 
-Resources PreemptibleCapacity(const std::vector<PreemptibleRun>& runs,
-                              std::int64_t priority) {
+const Resources& PreemptibleOnVm::CapacityBelow(std::int64_t priority) const {
+  for (const auto& [known_priority, capacity] : m_capacity) {
+    if (known_priority == priority) {
+      return capacity;
+    }
+  }
   Resources total;
-  for (const PreemptibleRun& run : runs) {
+  for (const PreemptibleRun& run : m_runs) {
     if (run.m_priority > priority) {
       total = total + run.m_charge;
     }
   }
-  return total;
+  m_capacity.emplace_back(priority, total);
+  return m_capacity.back().second;
 }
 
 std::vector<PreemptibleRun> ChooseRunsToStop(
--- a/Source/Core/cell/preemption.h
+++ b/Source/Core/cell/preemption.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 #include "cell/cell_state.h"
@@ -30,9 +31,22 @@
 std::vector<PreemptibleRun> PreemptibleRuns(const VmState& vm,
                                             CellState& state);
 
-// Sum of the charges of the runs that are less urgent than `priority`.
-Resources PreemptibleCapacity(const std::vector<PreemptibleRun>& runs,
-                              std::int64_t priority);
+// The preemptible runs on a VM. A pass asks for their capacity once for each
+// gang that waits, so it is kept.
+class PreemptibleOnVm {
+ public:
+  explicit PreemptibleOnVm(std::vector<PreemptibleRun> runs)
+      : m_runs(std::move(runs)) {}
+
+  const std::vector<PreemptibleRun>& Runs() const { return m_runs; }
+  // Sum of the charges of the runs that are less urgent than `priority`.
+  const Resources& CapacityBelow(std::int64_t priority) const;
+
+ private:
+  const std::vector<PreemptibleRun> m_runs;
+  // What was asked for, by priority; there are few.
+  mutable std::vector<std::pair<std::int64_t, Resources>> m_capacity;
+};
 
 // Runs less urgent than `priority` whose end makes `need` fit on a VM with the
 // free capacity `room`. All of them if that is not enough.
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -1,9 +1,12 @@
 // One scheduling pass over the ready steps: the choices of Scheduler::Decide.
 #pragma once
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -135,6 +138,8 @@
   bool ServeReservation(const StepRef& ref);
   bool MayPreemptFor(const ReadyStep& ready, const Pool& pool) const;
   bool ReserveByPreemption(StepPlacement& step, Pool& pool, std::int64_t tasks);
+  void RequestAdviceForPreemption(const StepPlacement& step, Pool& pool,
+                                  std::int64_t tasks);
   std::int64_t FitAfterStopsFor(const StepPlacement& step, const Slot& slot);
   std::vector<GangReservation::Vm> ChooseVmsToReserve(const StepPlacement& step,
                                                       Pool& pool,
@@ -144,7 +149,7 @@
                                             std::int64_t margin_ms) const;
   void StopRunsFor(const StepPlacement& step, Pool& pool);
   void KeepReservation(const StepPlacement& step, Pool& pool);
-  const std::vector<PreemptibleRun>& PreemptibleRunsOn(const VmState& vm);
+  const PreemptibleOnVm& PreemptibleOn(const VmState& vm);
 
   Scheduler& m_scheduler;
   CellState& m_state;
@@ -162,10 +167,11 @@
   // The gangs that had their turn before the others.
   std::set<const StepState*> m_served_gangs;
   // By VM, computed when first needed.
-  std::map<const VmState*, std::vector<PreemptibleRun>> m_preemptible;
+  absl::flat_hash_map<const VmState*, std::unique_ptr<PreemptibleOnVm>>
+      m_preemptible;
   std::set<RunKey> m_preempted;
   // Capacity of runs on the VM that reservations count on already.
-  std::map<const VmState*, Resources> m_claimed;
+  absl::flat_hash_map<const VmState*, Resources> m_claimed;
   // Requests of m_result that open a long call.
   std::size_t m_long_advice_calls = 0;
   ScheduleResult m_result;
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -21,6 +21,9 @@
 // A gang that is too large is checked again at this interval: the check looks
 // at all VMs of the pool.
 constexpr std::int64_t kSizeCheckIntervalMs = 500;
+// In an overloaded pool a gang that cannot start is tried again at this
+// interval: each attempt looks at all VMs that are recommended to it.
+constexpr std::int64_t kAttemptIntervalMs = 100;
 // A gang that waits is logged at this interval, and one that starts if it has
 // waited for longer than the second time.
 constexpr std::int64_t kGangDelayIntervalMs = 4'000;
@@ -191,6 +194,11 @@
     NoteWait(step, GangWaitCause::kOtherGangs, {});
     return;
   }
+  if (pool.m_preempts && !may_reserve &&
+      m_now.m_steady_ms < state.m_next_attempt_ms) {
+    NoteWait(step, state.m_wait.Cause(), {});
+    return;
+  }
   const std::int64_t tasks = TaskCount(ready);
   if (TeamHeadroom(ready) < tasks) {
     NoteWait(step, GangWaitCause::kTeamLimit, {});
@@ -207,15 +215,12 @@
     return;
   }
   NoteWait(step, WaitCauseOf(step, room, tasks), room);
+  step.State().m_next_attempt_ms = m_now.m_steady_ms + kAttemptIntervalMs;
   if (MayPreemptFor(ready, pool) && ReserveByPreemption(step, pool, tasks)) {
     return;
   }
   if (may_ask && pool.m_preempts) {
-    RequestAdvice(
-        step, ChooseVmsForPreemption(step, pool.m_capacity, tasks,
-                                     GoodShare(step), [&](const Slot& slot) {
-                                       return FitAfterStopsFor(step, slot);
-                                     }));
+    RequestAdviceForPreemption(step, pool, tasks);
   } else if (may_ask) {
     RequestAdvice(
         step, ChooseVmsForGang(step, pool.m_capacity, tasks, GoodShare(step)));
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -31,6 +31,9 @@
 // How long the answer to a request for tickets may take beyond what is
 // expected, before the reservation is given up.
 constexpr std::int64_t kLateAdviceMs = 400;
+// A gang that knows enough VMs looks for further ones at this interval: the
+// choice looks at all VMs of the pool.
+constexpr std::int64_t kNextChoiceMs = 250;
 
 }  // namespace
 
@@ -146,15 +149,31 @@
   return true;
 }
 
+void SchedulingPass::RequestAdviceForPreemption(const StepPlacement& step,
+                                                Pool& pool,
+                                                std::int64_t tasks) {
+  std::vector<std::string> vms = ChooseVmsForPreemption(
+      step, pool.m_capacity, tasks, GoodShare(step),
+      [&](const Slot& slot) { return FitAfterStopsFor(step, slot); });
+  if (vms.empty()) {
+    step.State().m_next_advice_call_ms = m_now.m_steady_ms + kNextChoiceMs;
+    return;
+  }
+  RequestAdvice(step, std::move(vms));
+}
+
 // How many members fit on the VM once less urgent runs have been stopped there
 // that no other gang counts on.
 std::int64_t SchedulingPass::FitAfterStopsFor(const StepPlacement& step,
                                               const Slot& slot) {
   Slot emptied = slot;
-  const Resources capacity = PreemptibleCapacity(PreemptibleRunsOn(*slot.m_vm),
-                                                 step.Queue().m_priority) -
-                             m_claimed[slot.m_vm];
-  emptied.m_free = slot.m_free + Max(capacity, {});
+  Resources capacity =
+      PreemptibleOn(*slot.m_vm).CapacityBelow(step.Queue().m_priority);
+  if (const auto claimed = m_claimed.find(slot.m_vm);
+      claimed != m_claimed.end()) {
+    capacity = Max(capacity - claimed->second, {});
+  }
+  emptied.m_free = slot.m_free + capacity;
   return step.Fit(emptied);
 }
 
@@ -223,7 +242,7 @@
         slot->m_free +
         CapacityBeingFreed(*slot->m_vm, m_state, m_now.m_steady_ms);
     for (const PreemptibleRun& run : ChooseRunsToStop(
-             PreemptibleRunsOn(*slot->m_vm), step.Queue().m_priority, room,
+             PreemptibleOn(*slot->m_vm).Runs(), step.Queue().m_priority, room,
              step.Spec().Charge() * vm.m_members)) {
       if (m_preempted.insert(run.m_run).second) {
         m_result.m_preemptions.push_back(run.m_run);
@@ -251,13 +270,12 @@
   }
 }
 
-const std::vector<PreemptibleRun>& SchedulingPass::PreemptibleRunsOn(
-    const VmState& vm) {
-  const auto [found, created] = m_preemptible.try_emplace(&vm);
-  if (created) {
-    found->second = PreemptibleRuns(vm, m_state);
+const PreemptibleOnVm& SchedulingPass::PreemptibleOn(const VmState& vm) {
+  std::unique_ptr<PreemptibleOnVm>& known = m_preemptible[&vm];
+  if (known == nullptr) {
+    known = std::make_unique<PreemptibleOnVm>(PreemptibleRuns(vm, m_state));
   }
-  return found->second;
+  return *known;
 }
 
 }  // namespace mustardslip
