Jobs that cannot end in time are refused; a dry run tells where a job would go

Refusal (--refuse_hopeless): what waits ahead of a job, divided by all of its pool, bounds its wait from below. A job that could not end within three times its objective even so is refused at once (no_capacity_in_time), with the time after which it could be accepted, spread by up to half over the callers. Jobs with long-lived tasks or a schedule are not refused. BacklogForecast is pure and tested without a cell; IsOfUse of overdue gangs uses the same definition.

Dry run: a submission with Mustardslip-Dry-Run is explained instead of accepted: decision and reason, team with share, cap and use, work ahead, for each step the VMs by the reason that holds for them, and the age of the view. Of other teams it tells an amount only. A daemon without an owner tells what it knows itself. `mustardslip dry-run HOST/PATH FILE` asks and prints.

--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -82,6 +82,9 @@
   }
   // The daemon that took the request may have an older configuration.
   ApplyRules(spec);
+  if (RefuseIfHopeless(token, spec, now)) {
+    return;
+  }
   const std::string id = spec.m_id;
   const std::string team = spec.m_team;
   Append(JobAccepted{std::move(spec), now.m_unix_ms});
@@ -264,6 +267,9 @@
   ReleaseDueOccurrences(now);
   RefreshSpeeds(now);
   RefreshContention(now);
+  if (m_features.m_refuse_hopeless) {
+    RefreshForecast(now);
+  }
   if (now.m_steady_ms >= m_next_stop_check_ms) {
     m_next_stop_check_ms = now.m_steady_ms + kStopCheckMs;
     RepeatStops(now);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -17,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "cell/backlog_forecast.h"
 #include "cell/cell_state.h"
 #include "cell/cell_types.h"
 #include "cell/contention.h"
@@ -36,13 +37,12 @@
 // A VM refuses a start that arrives later than this after it was sent.
 inline constexpr std::int64_t kStartWindowMs = 600;
 
-// Retry delay for callers refused because the store is not writable.
-inline constexpr std::int64_t kRetryWithoutStoreMs = 1'000;
-
 // Counted since this daemon took ownership of the cell.
 struct CellCounters {
   std::uint64_t m_accepted = 0;
   std::uint64_t m_refused = 0;
+  // Of them, jobs that could not end in time to be of use.
+  std::uint64_t m_hopeless = 0;
   std::uint64_t m_starts = 0;
   std::uint64_t m_not_begun = 0;
   // Runs whose VM turned out to be a newer incarnation before it listed them.
@@ -105,6 +105,8 @@
   void Lookup(std::uint64_t token, const std::string& queue,
               const std::string& job);
   void CountWaiting(std::uint64_t token, const std::string& queue);
+  // What would become of the job if it were submitted now (dry_run.h).
+  void Explain(std::uint64_t token, WorkflowSpec spec, const CellTime& now);
   // Answers that the request was not accepted.
   void Refuse(std::uint64_t token, std::string reason,
               std::int64_t retry_after_ms);
@@ -322,6 +324,9 @@
   void ObserveContention(const VmState& vm, const VmReport& report,
                          const CellTime& now);
   void RefreshContention(const CellTime& now);
+  void RefreshForecast(const CellTime& now);
+  bool RefuseIfHopeless(std::uint64_t token, const WorkflowSpec& spec,
+                        const CellTime& now);
 
   CellBounds m_bounds;
   const CellFeatures m_features;
@@ -340,6 +345,8 @@
   VmSpeeds m_speeds;
   std::int64_t m_next_speed_refresh_ms = 0;
   TeamRateLimiter m_team_rate_limiter;
+  BacklogForecast m_forecast;
+  std::int64_t m_next_forecast_ms = 0;
   ReadySteps m_ready;
   // When the next occurrence of each scheduled job is due, in Unix
   // milliseconds. May hold jobs that have ended.
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -9,10 +9,10 @@
 namespace mustardslip {
 namespace {
 
-constexpr std::array<std::string_view, 4> kMethods = {"submit", "cancel",
-                                                      "lookup", "count"};
-constexpr std::array<std::string_view, 6> kOutcomes = {
-    "accepted", "phase", "count", "gone", "refused", "unknown"};
+constexpr std::array<std::string_view, 5> kMethods = {
+    "submit", "cancel", "lookup", "count", "explain"};
+constexpr std::array<std::string_view, 7> kOutcomes = {
+    "accepted", "phase", "count", "gone", "refused", "unknown", "explained"};
 
 // In seconds, from one hop between zones to the usual timeout of a client.
 const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
@@ -79,6 +79,7 @@
   const CellCounters& counters = core->Counters();
   set("jobs_accepted", static_cast<double>(counters.m_accepted));
   set("jobs_refused", static_cast<double>(counters.m_refused));
+  set("jobs_refused_hopeless", static_cast<double>(counters.m_hopeless));
   set("starts", static_cast<double>(counters.m_starts));
   set("starts_not_begun", static_cast<double>(counters.m_not_begun));
   set("runs_carried_over", static_cast<double>(counters.m_carried_over));
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -146,6 +146,9 @@
       case CellMethod::kCount:
         m_core.CountWaiting(token, request.m_queue);
         break;
+      case CellMethod::kExplain:
+        m_core.Explain(token, std::move(request.m_spec), now);
+        break;
     }
     SchedulePump();
   }
--- a/Source/Core/cell/cell_request.cc
+++ b/Source/Core/cell/cell_request.cc
@@ -26,6 +26,9 @@
     value["r"] = answer.m_reason;
     value["a"] = answer.m_retry_after_ms;
   }
+  if (!answer.m_explanation.empty()) {
+    value["x"] = answer.m_explanation;
+  }
   return value;
 }
 
@@ -36,6 +39,7 @@
   answer.m_count = value.value("c", std::uint64_t{0});
   answer.m_reason = value.value("r", "");
   answer.m_retry_after_ms = value.value("a", std::int64_t{0});
+  answer.m_explanation = value.value("x", "");
   return answer;
 }
 
@@ -76,7 +80,7 @@
   message.m_header["m"] = request.m_method;
   message.m_header["q"] = request.m_queue;
   message.m_header["j"] = request.m_job;
-  if (request.m_method == CellMethod::kSubmit) {
+  if (CarriesJob(request.m_method)) {
     message.m_payload = EncodeRecords({JobAccepted{request.m_spec, 0}});
   }
 }
@@ -84,12 +88,12 @@
 Result<CellRequest> DecodeRequest(const RpcMessage& message) {
   CellRequest request;
   request.m_method = message.m_header.at("m");
-  if (request.m_method > CellMethod::kCount) {
+  if (request.m_method > CellMethod::kExplain) {
     return Fail(ErrorCode::kInvalidArgument, "unknown_method");
   }
   request.m_queue = message.m_header.at("q");
   request.m_job = message.m_header.at("j");
-  if (request.m_method == CellMethod::kSubmit) {
+  if (CarriesJob(request.m_method)) {
     auto records = DecodeRecords(message.m_payload);
     if (!records) {
       return tl::unexpected(records.error());
@@ -135,7 +139,7 @@
     }
     case LinkMessageKind::kAnswer:
       decoded.m_answer = AnswerFromJson(header.at("a"));
-      if (decoded.m_answer.m_outcome > CellOutcome::kUnknown ||
+      if (decoded.m_answer.m_outcome > CellOutcome::kExplained ||
           decoded.m_answer.m_phase > JobPhase::kCancelled) {
         return Fail(ErrorCode::kInvalidArgument, "unknown_answer");
       }
--- a/Source/Core/cell/cell_request.h
+++ b/Source/Core/cell/cell_request.h
@@ -16,13 +16,24 @@
 
 namespace mustardslip {
 
-enum class CellMethod : std::uint8_t { kSubmit, kCancel, kLookup, kCount };
+enum class CellMethod : std::uint8_t {
+  kSubmit,
+  kCancel,
+  kLookup,
+  kCount,
+  kExplain,  // A dry run of kSubmit.
+};
+
+// True if requests of this method carry a job.
+inline bool CarriesJob(CellMethod method) {
+  return method == CellMethod::kSubmit || method == CellMethod::kExplain;
+}
 
 struct CellRequest {
   CellMethod m_method = CellMethod::kLookup;
   std::string m_queue;
   std::string m_job;
-  // kSubmit only.
+  // Only if CarriesJob(m_method).
   WorkflowSpec m_spec;
 
   bool operator==(const CellRequest&) const = default;
--- a/Source/Core/cell/cell_state.h
+++ b/Source/Core/cell/cell_state.h
@@ -36,6 +36,9 @@
   std::unordered_map<std::string, std::unique_ptr<Job>>& Jobs() {
     return m_jobs;
   }
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& Jobs() const {
+    return m_jobs;
+  }
 
   // All VM incarnations that are listed or may still have runs.
   std::map<VmIncarnation, VmState>& Vms() { return m_vms; }
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -69,6 +70,8 @@
   // Keeps some daemons free of long calls to the advice service, for short
   // ones (AdviceQueue).
   bool m_short_advice_lane = false;
+  // Refuses jobs that could not end in time to be of use (BacklogForecast).
+  bool m_refuse_hopeless = false;
 
   bool operator==(const CellFeatures&) const = default;
 };
@@ -76,14 +79,20 @@
 // --- Replies to callers ---
 
 enum class CellOutcome : std::uint8_t {
-  kAccepted,  // The job is stored durably.
-  kPhase,     // `m_phase` is set.
-  kCount,     // `m_count` is set.
-  kNotFound,  // No such job.
-  kRefused,   // The job was not accepted and will not run.
-  kUnknown,   // The job may or may not have been accepted.
+  kAccepted,   // The job is stored durably.
+  kPhase,      // `m_phase` is set.
+  kCount,      // `m_count` is set.
+  kNotFound,   // No such job.
+  kRefused,    // The job was not accepted and will not run.
+  kUnknown,    // The job may or may not have been accepted.
+  kExplained,  // A dry run; `m_explanation` is set.
 };
 
+// Retry delay for callers refused because the store is not writable.
+inline constexpr std::int64_t kRetryWithoutStoreMs = 1'000;
+// Reason of a refusal of a job that could not end in time to be of use.
+inline constexpr std::string_view kNoCapacityInTime = "no_capacity_in_time";
+
 struct CellAnswer {
   CellOutcome m_outcome = CellOutcome::kUnknown;
   JobPhase m_phase = JobPhase::kQueued;
@@ -94,6 +103,8 @@
   // For kUnknown: this daemon is isolated, another one may know. Set by the
   // entry, and not part of messages between daemons.
   bool m_retry_elsewhere = false;
+  // For kExplained: JSON (dry_run.h).
+  std::string m_explanation;
 
   bool operator==(const CellAnswer&) const = default;
 };
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cell/advice_plan.h"
+#include "cell/backlog_forecast.h"
 #include "cell/scheduling_pass.h"
 #include "cell/speed_choice.h"
 
@@ -16,8 +17,6 @@
 // room.
 constexpr std::int64_t kOverdueGangsDivisor = 40;
 constexpr std::int64_t kLargeGangDivisor = 64;
-// A job is of use to its caller until this many times its objective.
-constexpr std::int64_t kUsefulObjectives = 3;
 // A gang that is too large is checked again at this interval: the check looks
 // at all VMs of the pool.
 constexpr std::int64_t kSizeCheckIntervalMs = 500;
@@ -101,11 +100,8 @@
 }
 
 bool SchedulingPass::IsOfUse(const ReadyStep& step) const {
-  const std::int64_t due = step.m_job->DueUnixMs(step.m_occurrence);
-  const std::int64_t objective =
-      step.m_job->ObjectiveUnixMs(step.m_occurrence) - due;
   return m_now.m_unix_ms + step.Spec().m_estimate_ms <
-         due + kUsefulObjectives * objective;
+         LastUsefulEndUnixMs(*step.m_job, step.m_occurrence);
 }
 
 std::int64_t SchedulingPass::TaskCount(const ReadyStep& step) {
--- a/Source/Core/configuration/operator_commands.cc
+++ b/Source/Core/configuration/operator_commands.cc
@@ -4,11 +4,16 @@
 #include <fmt/core.h>
 
 #include <array>
+#include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <utility>
 
 #include "admission/key_verifier.h"
+#include "common/random_id.h"
 #include "configuration/configuration_api.h"
+#include "configuration/dry_run_text.h"
 #include "configuration/json_object_reader.h"
 #include "report/burn_report.h"
 #include "store/store_client.h"
@@ -21,6 +26,8 @@
 
 // A change is a handful of store calls; a slow store needs seconds.
 constexpr Milliseconds kCallTimeout{15'000};
+// A daemon explains a submission with this header instead of accepting it.
+constexpr const char* kDryRunHeader = "Mustardslip-Dry-Run";
 
 class CommandRunner {
  public:
@@ -35,6 +42,7 @@
   int GetFiles();
   int ShowStatus();
   int ExplainJob();
+  int DryRunJob();
   int ReportBurn();
   int IssueKey();
 
@@ -56,7 +64,8 @@
   Result<ConfigurationFiles> ReadValid(const std::string& folder);
   Result<HttpResponse> Call(const std::string& method,
                             const std::string& target,
-                            const std::string& body = "");
+                            const std::string& body = "",
+                            HttpFields headers = {});
   // The response if its status is 200; else an error with what the server said.
   Result<HttpResponse> CallOk(const std::string& target);
   Result<ConfigurationBody> FetchConfiguration();
@@ -70,20 +79,21 @@
 
 Result<HttpResponse> CommandRunner::Call(const std::string& method,
                                          const std::string& target,
-                                         const std::string& body) {
+                                         const std::string& body,
+                                         HttpFields headers) {
   const auto endpoint = ParseEndpoint(m_options.m_server);
   if (!endpoint) {
     return tl::unexpected(endpoint.error());
   }
+  headers["Authorization"] = "Bearer " + m_options.m_key;
+  headers["Content-Type"] = "application/json";
   HttpClient client(*endpoint);
-  return client.Send(
-      {.m_method = method,
-       .m_target = target,
-       .m_headers = {{"Authorization", "Bearer " + m_options.m_key},
-                     {"Content-Type", "application/json"}},
-       .m_body = body,
-       .m_timeout = kCallTimeout,
-       .m_connection = Connection::kFresh});
+  return client.Send({.m_method = method,
+                      .m_target = target,
+                      .m_headers = std::move(headers),
+                      .m_body = body,
+                      .m_timeout = kCallTimeout,
+                      .m_connection = Connection::kFresh});
 }
 
 Result<HttpResponse> CommandRunner::CallOk(const std::string& target) {
@@ -266,6 +276,39 @@
       fmt::format("/v1/jobs/{}/explain", EncodePercent(Argument(1))));
 }
 
+// Sends the job with the header that makes it a dry run, under an id that no
+// job has: nothing is accepted, whatever answers.
+int CommandRunner::DryRunJob() {
+  const std::string& queue = Argument(1);
+  const std::size_t slash = queue.find('/');
+  std::ifstream file(Argument(2));
+  const std::string job((std::istreambuf_iterator<char>(file)),
+                        std::istreambuf_iterator<char>());
+  if (slash == std::string::npos || slash == 0 || !file) {
+    m_err << "dry-run needs HOST/PATH of a queue and a file with the job\n";
+    return kCommandUsage;
+  }
+  std::string target = queue.substr(slash);
+  if (target.back() != '/') {
+    target += '/';
+  }
+  constexpr std::size_t kJobIdDigits = 16;
+  const auto response =
+      Call("POST", target + RandomHexId().substr(0, kJobIdDigits), job,
+           {{"Host", queue.substr(0, slash)}, {kDryRunHeader, "true"}});
+  if (!response) {
+    return Failed(response.error());
+  }
+  const json result = json::parse(response->m_body, nullptr, false);
+  if (response->m_status != 200 || !result.is_object() ||
+      !result.contains("decision")) {
+    return Failed(
+        fmt::format("status {}: {}", response->m_status, response->m_body));
+  }
+  m_out << (m_options.m_json ? result.dump(2) + "\n" : DryRunText(result));
+  return kCommandOk;
+}
+
 int CommandRunner::ReportBurn() {
   if (m_options.m_json) {
     return PrintJson("/v1/report/burn");
@@ -312,7 +355,7 @@
   int (CommandRunner::*m_run)();
 };
 
-constexpr std::array<Command, 9> kCommands = {{
+constexpr std::array<Command, 10> kCommands = {{
     {"validate", nullptr, 2, 2, "validate DIR", false,
      &CommandRunner::ValidateFolder},
     {"diff", nullptr, 2, 2, "diff DIR --server=HOST:PORT", true,
@@ -327,6 +370,9 @@
      &CommandRunner::ShowStatus},
     {"explain", nullptr, 2, 2, "explain JOB --server=HOST:PORT", true,
      &CommandRunner::ExplainJob},
+    {"dry-run", nullptr, 3, 3,
+     "dry-run HOST/PATH FILE [--json] --server=HOST:PORT", true,
+     &CommandRunner::DryRunJob},
     {"report", "burn", 2, 2, "report burn [--json] --server=HOST:PORT", true,
      &CommandRunner::ReportBurn},
     {"key", "new", 3, 3, "key new TEAM [--operator]", false,
--- a/Source/Core/configuration/operator_commands_test.cc
+++ b/Source/Core/configuration/operator_commands_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <fstream>
 #include <sstream>
 
 #include "admission/key_verifier.h"
@@ -52,6 +53,11 @@
                            m_clock.Now());
       return {200, {}, ToJson(report.Lines(m_clock.Now())).dump()};
     }
+    if (request.m_path.starts_with("/queue/")) {
+      EXPECT_EQ(request.Header("mustardslip-dry-run"), "true");
+      EXPECT_EQ(request.Header("host"), "jobs.example");
+      return m_dry_run;
+    }
     return {200, {}, "{\"path\":\"" + request.m_path + "\"}"};
   }
 
@@ -75,6 +81,7 @@
   HttpServer m_server;
   std::ostringstream m_out;
   std::ostringstream m_err;
+  HttpResponse m_dry_run;
 };
 
 TEST_F(OperatorCommandsTest, ApplyDiffGetAndConflict) {
@@ -133,5 +140,29 @@
   EXPECT_THAT(m_out.str(), HasSubstr("record for inventory.json"));
 }
 
+// Fails if the command sends a job without saying that it is a dry run, or
+// takes the answer of a server that does not know dry runs for an explanation.
+TEST_F(OperatorCommandsTest, DryRunTellsWhereAJobWouldGo) {
+  const std::string file = m_folder + "/job.json";
+  std::ofstream(file) << R"({"steps":[{"count":1}]})";
+  m_dry_run = {200, {}, R"({"decision":"waits","reason":"room",
+    "queue":{"name":"queue","priority":1},"team":{"name":"a","cap":null},
+    "steps":[{"step":0,"tasks":1,"vms":{"full":2,"fits":0},
+              "first_choices":[]}],"view":{"configuration":3}})"};
+  EXPECT_EQ(Run({"dry-run", "jobs.example/queue", file}), kCommandOk)
+      << m_err.str();
+  EXPECT_THAT(m_out.str(), HasSubstr("decision=waits reason=room"));
+  EXPECT_THAT(m_out.str(), HasSubstr("full=2"));
+  EXPECT_EQ(m_out.str().find("fits"), std::string::npos);
+  m_dry_run = {200, {}, ""};
+  EXPECT_EQ(Run({"dry-run", "jobs.example/queue/", file}), kCommandFailed);
+  m_dry_run = {401, {}, R"({"error":"unknown_key"})"};
+  EXPECT_EQ(Run({"dry-run", "jobs.example/queue/", file}), kCommandFailed);
+  EXPECT_THAT(m_err.str(), HasSubstr("401"));
+  EXPECT_EQ(Run({"dry-run", "jobs.example", file}), kCommandUsage);
+  EXPECT_EQ(Run({"dry-run", "jobs.example/queue", file + "-none"}),
+            kCommandUsage);
+}
+
 }  // namespace
 }  // namespace mustardslip
