--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +22,7 @@
 #include "cell/owner_contact.h"
 #include "cell/owner_locator.h"
 #include "cell/ownership.h"
+#include "cell/peer_links.h"
 #include "cell/prefix_feed.h"
 #include "common/callback_guard.h"
 #include "common/logger.h"
@@ -42,11 +42,7 @@
   CellOwnerOptions m_owner;
   // Listening address for links from other daemons.
   Endpoint m_link_address;
-  // Links from other daemons; a further one is closed.
-  std::size_t m_max_peers = 64;
-  // Of them, those that have not said hello: the oldest is closed for a new
-  // one.
-  std::size_t m_max_unknown_peers = 16;
+  PeerLimits m_peer_limits;
   // Store key of the configuration.
   std::string m_configuration_key;
   ConfigurationDecoder m_decode_configuration;
@@ -66,7 +62,12 @@
         m_options(std::move(options)),
         m_entry(reactor),
         m_listener(reactor, m_options.m_link_address,
-                   [this](int socket) { OnAccept(socket); }),
+                   [this](int socket) { m_peers.Accept(socket); }),
+        m_peers(reactor, m_options.m_peer_limits,
+                {[this](std::uint64_t number, const LinkMessage& message) {
+                   OnPeerMessage(number, message);
+                 },
+                 [this](std::uint64_t number) { OnPeerRemoved(number); }}),
         m_link_backlog(m_options.m_owner.m_link_bytes_per_ms),
         m_ownership(store, reactor, m_options.m_ownership,
                     {[this](const OwnerRecord& owner) { OnAcquired(owner); },
@@ -132,18 +133,6 @@
   // Interval of the lines that tell what an owner's link and processor did.
   static constexpr std::int64_t kWorkloadReportMs = 2'000;
 
-  // A link from another daemon to this one.
-  struct Peer {
-    std::unique_ptr<MessageLink> m_link;
-    std::int64_t m_last_received_ms = 0;
-    std::int64_t m_accepted_ms = 0;
-    std::int64_t m_cpu_millis = 0;
-    // Where the daemon listens for links.
-    std::string m_link_address;
-    bool m_hello_received = false;
-    bool m_welcome_sent = false;
-  };
-
   // True if no owner is connected and none is expected soon.
   bool Isolated() const {
     return !m_entry.Connected() && !m_owner &&
@@ -207,7 +196,7 @@
       message.m_kind = LinkMessageKind::kAdviceRequest;
       message.m_number = number;
       message.m_advice_request = ask;
-      SendTo(peer, message);
+      m_peers.Send(peer, message);
     };
     CellOwnerOptions options = m_options.m_owner;
     options.m_link_backlog_ms = [this] {
@@ -243,25 +232,25 @@
   void OnOwnerReady() {
     m_owner_ready_ms = m_reactor.Now().m_steady_ms;
     Log(LogLevel::kInfo, LogCategory::kMembership, "cell_ready",
-        {{"peers", m_peers.size()}});
+        {{"peers", m_peers.Size()}});
     m_entry.SetLocalOwner([this](CellRequest request, auto done) {
       m_owner->Handle(std::move(request), std::move(done));
     });
-    for (auto& [number, peer] : m_peers) {
+    m_peers.Visit([this](std::uint64_t number, PeerLinks::Peer& peer) {
       AnswerHello(number, peer);
-    }
+    });
   }
 
   // Asks the other daemons to take over: the store may still accept their
   // writes.
   void RequestTakeover() {
     Log(LogLevel::kWarning, LogCategory::kMembership, "store_takes_no_writes",
-        {{"peers", m_peers.size()}});
+        {{"peers", m_peers.Size()}});
     LinkMessage message;
     message.m_kind = LinkMessageKind::kTakeoverRequest;
-    for (const auto& [number, peer] : m_peers) {
-      SendTo(number, message);
-    }
+    m_peers.Visit([&](std::uint64_t, const PeerLinks::Peer& peer) {
+      peer.m_link->Send(EncodeLinkMessage(message));
+    });
   }
 
   void OnLost() {
@@ -271,7 +260,7 @@
     // Closing the links makes peers resend their requests to the next owner.
     RunAfter(0, [this] {
       if (!m_owner) {
-        m_peers.clear();
+        m_peers.Clear();
       }
     });
   }
@@ -446,76 +435,29 @@
 
   // --- Links from other daemons ---
 
-  void OnAccept(int socket) {
-    const std::uint64_t number = ++m_last_peer;
-    MessageLink::Handlers handlers;
-    handlers.m_on_message = [this, number](const RpcMessage& message) {
-      OnPeerMessage(number, message);
-    };
-    handlers.m_on_closed = [this, number](bool) { RemovePeer(number); };
-    handlers.m_purpose_of = PurposeOf;
-    Peer& peer = m_peers[number];
-    peer.m_accepted_ms = m_reactor.Now().m_steady_ms;
-    peer.m_last_received_ms = peer.m_accepted_ms;
-    peer.m_link =
-        std::make_unique<MessageLink>(m_reactor, socket, std::move(handlers));
-    peer.m_link->SetMaxMessageBytes(MessageLink::kMaxHelloBytes);
-    LimitPeers(number);
-  }
-
-  // Peers are numbered as they are accepted, so the first is the oldest.
-  void LimitPeers(std::uint64_t newest) {
-    std::size_t unknown = 0;
-    std::uint64_t oldest_unknown = newest;
-    for (const auto& [number, peer] : m_peers) {
-      if (!peer.m_hello_received) {
-        ++unknown;
-        oldest_unknown = std::min(oldest_unknown, number);
-      }
-    }
-    if (unknown > m_options.m_max_unknown_peers ||
-        m_peers.size() > m_options.m_max_peers) {
-      RemovePeer(oldest_unknown);
-    }
-  }
-
-  void RemovePeer(std::uint64_t number) {
-    const auto found = m_peers.find(number);
-    if (found == m_peers.end()) {
-      return;
-    }
-    DestroyLater(std::move(found->second.m_link));
-    m_peers.erase(found);
+  void OnPeerRemoved(std::uint64_t number) {
     if (m_owner) {
       m_owner->RemoveDaemon(number);
     }
   }
 
-  void OnPeerMessage(std::uint64_t number, const RpcMessage& raw) {
-    const auto found = m_peers.find(number);
-    const auto message = DecodeLinkMessage(raw);
-    if (found == m_peers.end() || !message) {
-      return;
-    }
-    Peer& peer = found->second;
-    peer.m_last_received_ms = m_reactor.Now().m_steady_ms;
-    switch (message->m_kind) {
-      case LinkMessageKind::kHello:
-        peer.m_hello_received = true;
-        peer.m_link->SetMaxMessageBytes(MessageLink::kMaxMessageBytes);
-        peer.m_cpu_millis = message->m_cpu_millis;
-        peer.m_link_address = message->m_link_address;
+  void OnPeerMessage(std::uint64_t number, const LinkMessage& message) {
+    switch (message.m_kind) {
+      case LinkMessageKind::kHello: {
+        PeerLinks::Peer& peer = *m_peers.Find(number);
+        PeerLinks::OnHello(peer, message);
         AnswerHello(number, peer);
         break;
+      }
       case LinkMessageKind::kRequest:
-        OnPeerRequest(number, *message);
+        OnPeerRequest(number, message);
         break;
       case LinkMessageKind::kOwnerQuery:
-        SendTo(number, OwnerHint());
+        m_peers.Send(number, OwnerHint());
         break;
       case LinkMessageKind::kAdviceAnswer:
         if (m_owner) {
-          m_owner->OnRemoteAdvice(number, message->m_number, message->m_advice);
+          m_owner->OnRemoteAdvice(number, message.m_number, message.m_advice);
         }
         break;
       default:
@@ -535,7 +477,7 @@
     return hint;
   }
 
-  void AnswerHello(std::uint64_t number, Peer& peer) {
+  void AnswerHello(std::uint64_t number, PeerLinks::Peer& peer) {
     if (!peer.m_hello_received || peer.m_welcome_sent) {
       return;
     }
@@ -564,17 +506,10 @@
                       reply.m_kind = LinkMessageKind::kAnswer;
                       reply.m_number = request;
                       reply.m_answer = std::move(answer);
-                      SendTo(number, reply);
+                      m_peers.Send(number, reply);
                     }));
   }
 
-  void SendTo(std::uint64_t number, const LinkMessage& message) {
-    const auto found = m_peers.find(number);
-    if (found != m_peers.end() && found->second.m_link) {
-      found->second.m_link->Send(EncodeLinkMessage(message));
-    }
-  }
-
   // --- Periodic checks ---
 
   void Tick() {
@@ -619,67 +554,34 @@
     ping.m_store_away = m_owner && !m_owner->Core().StoreWritable();
     if (m_owner && now_ms - m_daemons_named_ms >= kNameDaemonsMs) {
       m_daemons_named_ms = now_ms;
-      ping.m_daemons = NextDaemons();
+      ping.m_daemons = m_peers.NextAddresses(kDaemonsNamed);
     }
-    const RpcMessage encoded = EncodeLinkMessage(ping);
     if (m_link) {
       if (now_ms - m_link_last_received_ms > kLinkTimeoutMs) {
         OnLinkClosed(false);
       } else if (m_entry.Connected()) {
-        m_link->Send(encoded);
-      }
-    }
-    std::vector<std::uint64_t> timed_out;
-    for (auto& [number, peer] : m_peers) {
-      if (now_ms - peer.m_last_received_ms > kLinkTimeoutMs) {
-        timed_out.push_back(number);
-      } else {
-        peer.m_link->Send(encoded);
-      }
-    }
-    for (const std::uint64_t number : timed_out) {
-      RemovePeer(number);
-    }
-  }
-
-  // The addresses of a few peers, others at each call.
-  std::vector<std::string> NextDaemons() {
-    std::vector<std::string> daemons;
-    auto peer = m_peers.upper_bound(m_last_named_peer);
-    for (std::size_t seen = 0;
-         seen < m_peers.size() && daemons.size() < kDaemonsNamed; ++seen) {
-      if (peer == m_peers.end()) {
-        peer = m_peers.begin();
+        m_link->Send(EncodeLinkMessage(ping));
       }
-      if (!peer->second.m_link_address.empty()) {
-        daemons.push_back(peer->second.m_link_address);
-      }
-      m_last_named_peer = peer->first;
-      ++peer;
     }
-    return daemons;
+    m_peers.Ping(ping, kLinkTimeoutMs);
   }
 
   void CheckHandover(std::int64_t now_ms) {
     if (!m_owner || !m_owner->Ready()) {
       return;
     }
-    std::vector<PeerCapacity> peers;
-    for (const auto& [number, peer] : m_peers) {
-      peers.push_back({number, peer.m_cpu_millis, peer.m_accepted_ms});
-    }
     const std::int64_t own_millis = m_options.m_ownership.m_cpu_millis;
-    const auto chosen =
-        m_handover.ChooseSuccessor(own_millis, m_owner_ready_ms, peers, now_ms);
+    const auto chosen = m_handover.ChooseSuccessor(
+        own_millis, m_owner_ready_ms, m_peers.Capacities(), now_ms);
     if (!chosen) {
       return;
     }
     Log(LogLevel::kInfo, LogCategory::kMembership, "handover_asked",
         {{"own_millis", own_millis},
-         {"peer_millis", m_peers.at(*chosen).m_cpu_millis}});
+         {"peer_millis", m_peers.Find(*chosen)->m_cpu_millis}});
     LinkMessage message;
     message.m_kind = LinkMessageKind::kTakeoverRequest;
-    SendTo(*chosen, message);
+    m_peers.Send(*chosen, message);
   }
 
   void CheckDrain(std::int64_t now_ms) {
@@ -713,16 +615,14 @@
   CallbackGuard m_guard;
   CellEntry<Reactor> m_entry;
   MessageListener m_listener;
+  PeerLinks m_peers;
   std::shared_ptr<Owner> m_owner;
   std::shared_ptr<const ConfigurationView> m_configuration;
   std::optional<OwnerRecord> m_known_owner;
   std::unique_ptr<MessageLink> m_link;
   Revision m_link_revision = 0;
   std::int64_t m_link_last_received_ms = 0;
-  std::map<std::uint64_t, Peer> m_peers;
-  std::uint64_t m_last_peer = 0;
-  // The last peer of NextDaemons(), and when it was called (steady clock).
-  std::uint64_t m_last_named_peer = 0;
+  // Steady clock: when daemons were last named to all others.
   std::int64_t m_daemons_named_ms = 0;
   HandoverPolicy m_handover;
   // Steady clock: when the owner in this daemon became ready.
