--- a/Source/Core/configuration/dry_run_text.cc
+++ b/Source/Core/configuration/dry_run_text.cc
@@ -11,9 +11,9 @@
 using nlohmann::json;
 
 const json& At(const json& object, std::string_view name) {
-  static const json kNothing;
+  static const json nothing;
   const auto found = object.is_object() ? object.find(name) : object.end();
-  return object.is_object() && found != object.end() ? *found : kNothing;
+  return object.is_object() && found != object.end() ? *found : nothing;
 }
 
 std::string Text(const json& value) {
