--- a/Source/Core/cell/cell_core.cc
+++ b/Source/Core/cell/cell_core.cc
@@ -13,6 +13,7 @@
 // Limits memory use and the duration of a scheduling pass.
 constexpr std::size_t kMaxActiveJobs = 20'000;
 constexpr std::int64_t kRetryWhenFullMs = 1'000;
+constexpr double kDryRunsPerSecond = 10;
 // Interval at which expired ended jobs and old calls are removed.
 constexpr std::int64_t kSweepMs = 5'000;
 // Interval at which unanswered stops are considered for a repetition.
@@ -28,7 +29,8 @@
       m_contention(features.m_avoid_contention
                        ? std::make_unique<ContentionModel>()
                        : nullptr),
-      m_scheduler(features, m_contention.get()) {}
+      m_scheduler(features, m_contention.get()),
+      m_dry_runs(kDryRunsPerSecond, kDryRunsPerSecond) {}
 
 std::string ToString(const StepRef& step) {
   return fmt::format("{}.{}.{}", step.m_job, step.m_occurrence, step.m_step);
--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -24,6 +24,7 @@
 #include "cell/scheduler.h"
 #include "cell/team_rate.h"
 #include "cell/vm_speed.h"
+#include "common/token_bucket.h"
 
 namespace mustardslip {
 
@@ -105,7 +106,8 @@
   void Lookup(std::uint64_t token, const std::string& queue,
               const std::string& job);
   void CountWaiting(std::uint64_t token, const std::string& queue);
-  // What would become of the job if it were submitted now (dry_run.h).
+  // What would become of the job if it were submitted now (dry_run.h). Refuses
+  // more than a few a second: each looks at all VMs for each step.
   void Explain(std::uint64_t token, WorkflowSpec spec, const CellTime& now);
   // Answers that the request was not accepted.
   void Refuse(std::uint64_t token, std::string reason,
@@ -347,6 +349,7 @@
   TeamRateLimiter m_team_rate_limiter;
   BacklogForecast m_forecast;
   std::int64_t m_next_forecast_ms = 0;
+  TokenBucket m_dry_runs;
   ReadySteps m_ready;
   // When the next occurrence of each scheduled job is due, in Unix
   // milliseconds. May hold jobs that have ended.
--- a/Source/Core/cell/cell_core_forecast.cc
+++ b/Source/Core/cell/cell_core_forecast.cc
@@ -8,6 +8,7 @@
 
 // A forecast goes over all waiting steps and VMs.
 constexpr std::int64_t kForecastMs = 250;
+constexpr std::int64_t kRetryDryRunMs = 1'000;
 
 }  // namespace
 
@@ -57,6 +58,10 @@
 
 void CellCore::Explain(std::uint64_t token, WorkflowSpec spec,
                        const CellTime& now) {
+  if (!m_dry_runs.Take(TimePoint(Milliseconds(now.m_steady_ms)))) {
+    Refuse(token, "too_many_dry_runs", kRetryDryRunMs);
+    return;
+  }
   ApplyRules(spec);
   RefreshForecast(now);
   const auto limits = m_rules.m_teams.find(spec.m_team);
--- a/Source/Core/cell/cell_node.h
+++ b/Source/Core/cell/cell_node.h
@@ -319,6 +319,7 @@
       return;
     }
     m_link_revision = m_known_owner->m_revision;
+    m_link_store_away = false;
     m_link_last_received_ms = m_reactor.Now().m_steady_ms;
     MessageLink::Handlers handlers;
     handlers.m_on_connected = [this] {
--- a/Source/Core/cell/dry_run_test.cc
+++ b/Source/Core/cell/dry_run_test.cc
@@ -107,6 +107,25 @@
   EXPECT_EQ(text.find(CellHarness::Id(7)), std::string::npos);
 }
 
+// Fails if callers who ask at full rate use up the owner's processor.
+TEST_F(DryRunTest, OnlyAFewASecondAreAnswered) {
+  AddVms(1);
+  constexpr std::uint64_t kFirst = 2'000'000;
+  constexpr std::uint64_t kAsked = 100;
+  std::uint64_t explained = 0;
+  for (std::uint64_t token = kFirst; token < kFirst + kAsked; ++token) {
+    m_cell.Core().Explain(token, m_cell.Job(1, {CellHarness::Step(1, 1'000)}),
+                          m_cell.Now());
+    m_cell.Pump();
+    const auto answer = m_cell.Answer(token);
+    ASSERT_TRUE(answer.has_value());
+    explained += answer->m_outcome == CellOutcome::kExplained ? 1 : 0;
+  }
+  EXPECT_EQ(explained, 10U);
+  m_cell.Run(1'000);
+  EXPECT_EQ(Explain(CellHarness::Step(1, 1'000))["decision"], "starts");
+}
+
 // Fails if a refusal, or a job that is known, is not foreseen.
 TEST_F(DryRunTest, RefusalsAndKnownJobsAreForeseen) {
   AddVms(1);
--- a/Source/Core/cell/owner_locator.h
+++ b/Source/Core/cell/owner_locator.h
@@ -49,17 +49,25 @@
     if (m_daemons.empty()) {
       return;
     }
-    const Endpoint daemon = m_daemons[m_next++ % m_daemons.size()];
+    const std::size_t question = m_questions++;
+    const Endpoint daemon = m_daemons[question % m_daemons.size()];
+    // A link that was given up may still call its handlers once.
+    const auto if_current = [this, question](auto handle) {
+      return [this, question, handle](const auto&... argument) {
+        if (question + 1 == m_questions && m_link) {
+          handle(argument...);
+        }
+      };
+    };
     MessageLink::Handlers handlers;
-    handlers.m_on_connected = [this] {
+    handlers.m_on_connected = if_current([this] {
       LinkMessage query;
       query.m_kind = LinkMessageKind::kOwnerQuery;
       m_link->Send(EncodeLinkMessage(query));
-    };
-    handlers.m_on_message = [this](const RpcMessage& message) {
-      OnMessage(message);
-    };
-    handlers.m_on_closed = [this](bool) { CloseLink(); };
+    });
+    handlers.m_on_message =
+        if_current([this](const RpcMessage& message) { OnMessage(message); });
+    handlers.m_on_closed = if_current([this](bool) { CloseLink(); });
     handlers.m_purpose_of = PurposeOf;
     m_link =
         std::make_unique<MessageLink>(m_reactor, daemon, std::move(handlers));
@@ -91,7 +99,8 @@
   Reactor& m_reactor;
   std::vector<Endpoint> m_daemons;
   const OnHint m_on_hint;
-  std::size_t m_next = 0;
+  // Asked so far; they take turns.
+  std::size_t m_questions = 0;
   // To the daemon that is being asked; null if there is none.
   std::unique_ptr<MessageLink> m_link;
 };
