One order decides which work is ahead of a job

Found in a last read: BacklogForecast kept the steps of one priority in a list that it took for sorted by latest start. Steps beyond their team's rate come after the others there, with earlier latest starts, so the search could count work as ahead that goes later, and refuse a job that had time. Steps are kept by their whole ReadyOrder now, which MakeReadyOrder builds for ReadySteps, the forecast and the dry run alike (WorkBeyondItsTeamsRateGoesLater is new). The dry run's shortest wait counts the caller's own team being beyond its rate.

Written twice before, one piece now: the number of waiting tasks (StepState::WaitingTasks, in five places), the cap of a team without limits (TeamLimits::EffectiveCap, also in the dry run). HopelessJob had a member that nobody read; only the Retry-After is returned.

--- a/Source/Core/cell/backlog_forecast.cc
+++ b/Source/Core/cell/backlog_forecast.cc
@@ -3,6 +3,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+
+#include "cell/ready_steps.h"
 
 namespace mustardslip {
 namespace {
@@ -22,33 +25,24 @@
 
 }  // namespace
 
-void BacklogForecast::AddWork(const std::string& service, std::int64_t priority,
-                              std::int64_t latest_start_unix_ms,
-                              std::int64_t work) {
-  auto& steps = m_services[service].m_work[priority];
+void BacklogForecast::AddWork(const std::string& service,
+                              const ReadyOrder& order, std::int64_t work) {
+  auto& steps = m_services[service].m_work;
   const std::int64_t before = steps.empty() ? 0 : steps.back().second;
-  steps.emplace_back(latest_start_unix_ms, before + work);
+  steps.emplace_back(order, before + work);
 }
 
 std::optional<std::int64_t> BacklogForecast::MinWaitMs(
-    const std::string& service, std::int64_t priority,
-    std::int64_t latest_start_unix_ms) const {
+    const std::string& service, const ReadyOrder& order) const {
   const auto found = m_services.find(service);
   if (found == m_services.end() || found->second.m_cpu_millis <= 0) {
     return std::nullopt;
   }
-  std::int64_t ahead = 0;
-  for (const auto& [urgency, steps] : found->second.m_work) {
-    if (urgency > priority) {
-      break;
-    }
-    const auto end =
-        urgency < priority
-            ? steps.end()
-            : std::lower_bound(steps.begin(), steps.end(),
-                               std::pair(latest_start_unix_ms, INT64_MIN));
-    ahead += end == steps.begin() ? 0 : std::prev(end)->second;
-  }
+  const auto& steps = found->second.m_work;
+  const auto end = std::lower_bound(
+      steps.begin(), steps.end(), order,
+      [](const auto& step, const ReadyOrder& own) { return step.first < own; });
+  const std::int64_t ahead = end == steps.begin() ? 0 : std::prev(end)->second;
   return ahead / found->second.m_cpu_millis;
 }
 
@@ -57,16 +51,16 @@
   return due + kUsefulObjectives * (job.ObjectiveUnixMs(occurrence) - due);
 }
 
-std::optional<HopelessJob> FindHopeless(const BacklogForecast& forecast,
-                                        const Job& job,
-                                        std::int64_t now_unix_ms) {
+std::optional<std::int64_t> RetryAfterIfHopeless(
+    const BacklogForecast& forecast, const Job& job, std::int64_t now_unix_ms) {
   if (job.m_spec.m_schedule.m_repeats > 0 || HasLongLivedStep(job)) {
     return std::nullopt;
   }
   const std::int64_t chain_ms = job.CriticalPathMs();
-  const auto min_wait = forecast.MinWaitMs(job.m_spec.m_queue.m_service,
-                                           job.m_spec.m_queue.m_priority,
-                                           job.ObjectiveUnixMs(0) - chain_ms);
+  const auto min_wait =
+      forecast.MinWaitMs(job.m_spec.m_queue.m_service,
+                         MakeReadyOrder(job.m_spec.m_queue.m_priority, false,
+                                        job.ObjectiveUnixMs(0) - chain_ms));
   if (!min_wait) {
     return std::nullopt;
   }
@@ -78,7 +72,7 @@
   const auto hash = static_cast<std::int64_t>(
       std::hash<std::string>{}(job.m_spec.m_id) % kSpreadPercent);
   const std::int64_t retry_ms = std::clamp(late_ms, kMinRetryMs, kMaxRetryMs);
-  return HopelessJob{*min_wait, retry_ms + retry_ms * hash / 100};
+  return retry_ms + retry_ms * hash / 100;
 }
 
 }  // namespace mustardslip
--- a/Source/Core/cell/backlog_forecast.h
+++ b/Source/Core/cell/backlog_forecast.h
@@ -29,42 +29,30 @@
 
   // Adds the waiting work of a step, in thousandths of a core times
   // milliseconds. Call in scheduling order.
-  void AddWork(const std::string& service, std::int64_t priority,
-               std::int64_t latest_start_unix_ms, std::int64_t work);
+  void AddWork(const std::string& service, const ReadyOrder& order,
+               std::int64_t work);
 
-  // The shortest time in milliseconds until a step of this priority with this
-  // latest start has its turn; nullopt if the service has no usable VM.
-  std::optional<std::int64_t> MinWaitMs(
-      const std::string& service, std::int64_t priority,
-      std::int64_t latest_start_unix_ms) const;
+  // The shortest time in milliseconds until a step at this place has its turn;
+  // nullopt if the service has no usable VM.
+  std::optional<std::int64_t> MinWaitMs(const std::string& service,
+                                        const ReadyOrder& order) const;
 
  private:
   struct Service {
     std::int64_t m_cpu_millis = 0;
-    // By priority, the latest starts in ascending order, each with the work up
-    // to this one.
-    std::map<std::int64_t, std::vector<std::pair<std::int64_t, std::int64_t>>>
-        m_work;
+    // In scheduling order, each with the work up to this one.
+    std::vector<std::pair<ReadyOrder, std::int64_t>> m_work;
   };
 
   std::map<std::string, Service> m_services;
 };
 
-// A job that could not end in time to be of use.
-struct HopelessJob {
-  // The shortest wait for its first step.
-  std::int64_t m_min_wait_ms = 0;
-  // After this time it could be accepted, if nothing else came.
-  std::int64_t m_retry_after_ms = 0;
-
-  bool operator==(const HopelessJob&) const = default;
-};
-
-// Nullopt for a job that may end in time, a scheduled one, or one with
-// long-lived tasks. `job`: submitted now, not accepted yet.
-std::optional<HopelessJob> FindHopeless(const BacklogForecast& forecast,
-                                        const Job& job,
-                                        std::int64_t now_unix_ms);
+// The Retry-After in milliseconds for a job that could not end in time to be of
+// use: after this time it could be accepted, if nothing else came. Nullopt for
+// a job that may end in time, a scheduled one, or one with long-lived tasks.
+// `job`: submitted now, not accepted yet.
+std::optional<std::int64_t> RetryAfterIfHopeless(
+    const BacklogForecast& forecast, const Job& job, std::int64_t now_unix_ms);
 
 // The latest end at which the job's result is of use to its caller.
 std::int64_t LastUsefulEndUnixMs(const Job& job, std::uint32_t occurrence);
--- a/Source/Core/cell/backlog_forecast_test.cc
+++ b/Source/Core/cell/backlog_forecast_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "cell/cell_core_fixture.h"
+#include "cell/ready_steps.h"
 
 namespace mustardslip {
 namespace {
@@ -16,16 +17,33 @@
 TEST(BacklogForecastTest, OnlyWorkThatGoesFirstCounts) {
   BacklogForecast forecast;
   forecast.AddCapacity("svc", 1'000);
-  forecast.AddWork("svc", 0, kNow + 100, 2'000'000);
-  forecast.AddWork("svc", 1, kNow + 100, 3'000'000);
-  forecast.AddWork("svc", 1, kNow + 900, 5'000'000);
-  forecast.AddWork("svc", 2, kNow + 100, 7'000'000);
-  EXPECT_EQ(forecast.MinWaitMs("svc", 0, kNow), 0);
-  EXPECT_EQ(forecast.MinWaitMs("svc", 0, kNow + 200), 2'000);
-  EXPECT_EQ(forecast.MinWaitMs("svc", 1, kNow + 500), 5'000);
-  EXPECT_EQ(forecast.MinWaitMs("svc", 1, kNow + 901), 10'000);
-  EXPECT_EQ(forecast.MinWaitMs("svc", 3, kNow), 17'000);
-  EXPECT_EQ(forecast.MinWaitMs("other", 1, kNow), std::nullopt);
+  forecast.AddWork("svc", MakeReadyOrder(0, false, kNow + 100), 2'000'000);
+  forecast.AddWork("svc", MakeReadyOrder(1, false, kNow + 100), 3'000'000);
+  forecast.AddWork("svc", MakeReadyOrder(1, false, kNow + 900), 5'000'000);
+  forecast.AddWork("svc", MakeReadyOrder(2, false, kNow + 100), 7'000'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(0, false, kNow)), 0);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(0, false, kNow + 200)),
+            2'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(1, false, kNow + 500)),
+            5'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(1, false, kNow + 901)),
+            10'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(3, false, kNow)), 17'000);
+  EXPECT_EQ(forecast.MinWaitMs("other", MakeReadyOrder(1, false, kNow)),
+            std::nullopt);
+}
+
+// Fails if a job is refused because of work beyond its team's rate, which goes
+// after the job.
+TEST(BacklogForecastTest, WorkBeyondItsTeamsRateGoesLater) {
+  BacklogForecast forecast;
+  forecast.AddCapacity("svc", 1'000);
+  forecast.AddWork("svc", MakeReadyOrder(1, false, kNow + 900), 3'000'000);
+  forecast.AddWork("svc", MakeReadyOrder(0, true, kNow + 100), 5'000'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(1, false, kNow + 500)), 0);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(1, false, kNow + 901)),
+            3'000);
+  EXPECT_EQ(forecast.MinWaitMs("svc", MakeReadyOrder(2, false, kNow)), 8'000);
 }
 
 class RefusalTest : public testing::Test {
--- a/Source/Core/cell/cell_core_forecast.cc
+++ b/Source/Core/cell/cell_core_forecast.cc
@@ -27,12 +27,9 @@
   m_ready.Visit(now.m_unix_ms, [&](const ReadyStep& step) {
     const ReadyOrder& order = *step.m_state->m_ready_order;
     if (order.m_latest_start_unix_ms >= now.m_unix_ms) {
-      const StepState& state = *step.m_state;
-      const auto waiting = static_cast<std::int64_t>(state.m_tasks.size()) -
-                           state.m_done - state.m_open;
-      m_forecast.AddWork(step.m_job->m_spec.m_queue.m_service, order.m_priority,
-                         order.m_latest_start_unix_ms,
-                         waiting * step.Spec().Charge().m_cpu_millis *
+      m_forecast.AddWork(step.m_job->m_spec.m_queue.m_service, order,
+                         step.m_state->WaitingTasks() *
+                             step.Spec().Charge().m_cpu_millis *
                              step.Spec().m_estimate_ms);
     }
     return true;
@@ -46,13 +43,13 @@
   if (!m_features.m_refuse_hopeless || !m_recovered) {
     return false;
   }
-  const auto hopeless =
-      FindHopeless(m_forecast, MakeJob({spec, now.m_unix_ms}), now.m_unix_ms);
-  if (!hopeless) {
+  const auto retry_after_ms = RetryAfterIfHopeless(
+      m_forecast, MakeJob({spec, now.m_unix_ms}), now.m_unix_ms);
+  if (!retry_after_ms) {
     return false;
   }
   ++m_counters.m_hopeless;
-  Refuse(token, std::string(kNoCapacityInTime), hopeless->m_retry_after_ms);
+  Refuse(token, std::string(kNoCapacityInTime), *retry_after_ms);
   return true;
 }
 
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -34,6 +34,15 @@
   std::int64_t m_weight = 1;
   std::int64_t m_priority = 0;
 
+  // The cap with a very large value in each dimension that has no limit.
+  Resources EffectiveCap() const {
+    const auto limit_or_max = [](std::int64_t value) {
+      return value > 0 ? value : INT64_MAX / 4;
+    };
+    return {limit_or_max(m_cap.m_cpu_millis), limit_or_max(m_cap.m_memory_mb),
+            limit_or_max(m_cap.m_accelerators)};
+  }
+
   bool operator==(const TeamLimits&) const = default;
 };
 
--- a/Source/Core/cell/dry_run.cc
+++ b/Source/Core/cell/dry_run.cc
@@ -83,23 +83,18 @@
   return result;
 }
 
-// Steps in scheduling order before one of this priority and latest start.
-void CountAhead(const DryRunView& view, const Job& job, DryRun& result,
+// Steps on time that go before one at this place.
+void CountAhead(const DryRunView& view, const ReadyOrder& own, DryRun& result,
                 const CellTime& now) {
-  const ReadyOrder own{result.m_priority + (result.m_team_over_rate ? 1 : 0),
-                       result.m_team_over_rate,
-                       job.ObjectiveUnixMs(0) - job.CriticalPathMs()};
   view.m_ready.Visit(now.m_unix_ms, [&](const ReadyStep& step) {
     const bool same_service =
         step.m_job->m_spec.m_queue.m_service == result.m_service;
     const ReadyOrder& order = *step.m_state->m_ready_order;
     const bool on_time = order.m_latest_start_unix_ms >= now.m_unix_ms;
     if (same_service && on_time && order < own) {
-      const StepState& state = *step.m_state;
-      const auto waiting = static_cast<std::int64_t>(state.m_tasks.size()) -
-                           state.m_done - state.m_open;
       ++result.m_steps_ahead;
-      result.m_cpu_ahead_millis += step.Spec().Charge().m_cpu_millis * waiting;
+      result.m_cpu_ahead_millis +=
+          step.Spec().Charge().m_cpu_millis * step.m_state->WaitingTasks();
     }
     return true;
   });
@@ -116,20 +111,12 @@
   }
 }
 
-// Tasks of the step that the team's cap leaves room for.
+// True if the team's cap leaves room for a task of the step, or for all of a
+// gang.
 bool WithinCap(const DryRun& result, const StepSpec& step) {
-  const auto within = [&](std::int64_t cap, std::int64_t used,
-                          std::int64_t need) {
-    return cap == 0 || need == 0 || used + need <= cap;
-  };
-  const Resources need =
-      step.m_gang ? step.m_resources * step.m_count : step.m_resources;
-  return within(result.m_team_cap.m_cpu_millis, result.m_team_used.m_cpu_millis,
-                need.m_cpu_millis) &&
-         within(result.m_team_cap.m_memory_mb, result.m_team_used.m_memory_mb,
-                need.m_memory_mb) &&
-         within(result.m_team_cap.m_accelerators,
-                result.m_team_used.m_accelerators, need.m_accelerators);
+  const Resources room =
+      TeamLimits{result.m_team_cap}.EffectiveCap() - result.m_team_used;
+  return FitCount(step.m_resources, room) >= (step.m_gang ? step.m_count : 1);
 }
 
 // Sets what a job waits for that is accepted.
@@ -164,13 +151,14 @@
     result.m_retry_after_ms = kRetryWithoutStoreMs;
     return;
   }
-  const auto hopeless = view.m_refuses_hopeless
-                            ? FindHopeless(view.m_forecast, job, now.m_unix_ms)
-                            : std::nullopt;
-  if (hopeless) {
+  const auto retry_after_ms =
+      view.m_refuses_hopeless
+          ? RetryAfterIfHopeless(view.m_forecast, job, now.m_unix_ms)
+          : std::nullopt;
+  if (retry_after_ms) {
     result.m_decision = DryRunDecision::kRefused;
     result.m_reason = std::string(kNoCapacityInTime);
-    result.m_retry_after_ms = hopeless->m_retry_after_ms;
+    result.m_retry_after_ms = *retry_after_ms;
     return;
   }
   DecideWait(job.m_spec, result);
@@ -227,12 +215,12 @@
   result.m_configuration = view.m_rules.m_version;
   result.m_store_writable = view.m_store_writable;
   FillTeam(view, result);
-  CountAhead(view, job, result, now);
+  const ReadyOrder own =
+      MakeReadyOrder(result.m_priority, result.m_team_over_rate,
+                     job.ObjectiveUnixMs(0) - job.CriticalPathMs());
+  CountAhead(view, own, result, now);
   result.m_min_wait_ms =
-      view.m_forecast
-          .MinWaitMs(result.m_service, result.m_priority,
-                     job.ObjectiveUnixMs(0) - job.CriticalPathMs())
-          .value_or(0);
+      view.m_forecast.MinWaitMs(result.m_service, own).value_or(0);
   for (std::uint32_t i = 0; i < spec.m_steps.size(); ++i) {
     result.m_steps.push_back(
         ExplainStep(view, result.m_service, spec.m_steps[i], now));
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -185,6 +185,10 @@
   std::optional<ReadyOrder> m_ready_order;
 
   bool Done() const { return m_done == m_tasks.size(); }
+  // Tasks that are neither done nor have an open run.
+  std::int64_t WaitingTasks() const {
+    return static_cast<std::int64_t>(m_tasks.size()) - m_done - m_open;
+  }
   // The failures that count against the queue's attempts of the task, or of its
   // gang.
   FailedRuns& FailuresOf(const StepSpec& spec, std::uint32_t task) {
--- a/Source/Core/cell/ready_steps.cc
+++ b/Source/Core/cell/ready_steps.cc
@@ -10,18 +10,17 @@
 // Keeps sums with a priority in range.
 constexpr std::int64_t kLowestPriority = 1'000'000;
 
-bool HasTasksToStart(const StepState& step) {
-  return step.m_done + step.m_open < step.m_tasks.size();
-}
-
-std::int64_t EffectivePriority(const Job& job) {
-  const std::int64_t priority =
-      std::min(job.m_spec.m_queue.m_priority, kLowestPriority);
-  return job.m_over_rate ? priority + 1 : priority;
-}
+bool HasTasksToStart(const StepState& step) { return step.WaitingTasks() > 0; }
 
 }  // namespace
 
+ReadyOrder MakeReadyOrder(std::int64_t priority, bool over_rate,
+                          std::int64_t latest_start_unix_ms) {
+  return {std::min(priority, kLowestPriority) + (over_rate ? 1 : 0), over_rate,
+          std::min(latest_start_unix_ms,
+                   std::numeric_limits<std::int64_t>::max() - 1)};
+}
+
 bool ReadySteps::Entry::operator<(const Entry& other) const {
   if (m_order != other.m_order) {
     return m_order < other.m_order;
@@ -74,8 +73,8 @@
   }
   const std::int64_t latest_start =
       job.ObjectiveUnixMs(occurrence) - job.CriticalPathFromMs(step);
-  state.m_ready_order = ReadyOrder{EffectivePriority(job), job.m_over_rate,
-                                   std::min(latest_start, kMax - 1)};
+  state.m_ready_order = MakeReadyOrder(job.m_spec.m_queue.m_priority,
+                                       job.m_over_rate, latest_start);
   m_steps.insert(Entry{*state.m_ready_order, entry});
 }
 
--- a/Source/Core/cell/ready_steps.h
+++ b/Source/Core/cell/ready_steps.h
@@ -31,6 +31,10 @@
   StepRef Ref() const { return {m_job->m_spec.m_id, m_occurrence, m_step}; }
 };
 
+// The place of a step in the scheduling order. `priority`: of its queue.
+ReadyOrder MakeReadyOrder(std::int64_t priority, bool over_rate,
+                          std::int64_t latest_start_unix_ms);
+
 class ReadySteps {
  public:
   // Adds and removes the steps of the job, as its state requires.
--- a/Source/Core/cell/scheduling_pass.cc
+++ b/Source/Core/cell/scheduling_pass.cc
@@ -24,11 +24,6 @@
 // At most one in this many VMs is kept for suspects at a time.
 constexpr std::size_t kProbationDivisor = 4;
 
-std::int64_t WaitingTasks(const StepState& step) {
-  return static_cast<std::int64_t>(step.m_tasks.size()) - step.m_done -
-         step.m_open;
-}
-
 }  // namespace
 
 SchedulingPass::SchedulingPass(Scheduler& scheduler, CellState& state,
@@ -99,15 +94,6 @@
   return std::move(m_result);
 }
 
-// Replaces 0 (no limit) in each dimension of the cap by a very large value.
-Resources SchedulingPass::Unlimited(const Resources& cap) {
-  const auto limit_or_max = [](std::int64_t value) {
-    return value > 0 ? value : INT64_MAX / 4;
-  };
-  return {limit_or_max(cap.m_cpu_millis), limit_or_max(cap.m_memory_mb),
-          limit_or_max(cap.m_accelerators)};
-}
-
 // How many more tasks of this step the team's cap allows.
 std::int64_t SchedulingPass::TeamHeadroom(const ReadyStep& step) {
   const std::string& team = step.m_job->m_spec.m_team;
@@ -115,7 +101,7 @@
   if (limits == m_rules.m_teams.end()) {
     return INT64_MAX;
   }
-  const Resources capacity = Unlimited(limits->second.m_cap) -
+  const Resources capacity = limits->second.EffectiveCap() -
                              m_state.TeamUsage(team).m_total -
                              m_team_planned[team];
   return FitCount(step.Spec().m_resources, capacity);
@@ -156,7 +142,7 @@
     return;
   }
   const std::int64_t waiting =
-      std::min(WaitingTasks(state), TeamHeadroom(ready));
+      std::min(state.WaitingTasks(), TeamHeadroom(ready));
   const std::int64_t placed = may_start ? StartTasks(step, pool, waiting) : 0;
   if (waiting - placed <= 0 || !step.NeedsAdvice()) {
     return;
--- a/Source/Core/cell/scheduling_pass.h
+++ b/Source/Core/cell/scheduling_pass.h
@@ -52,7 +52,6 @@
     std::int64_t m_reserved_cpu_millis = 0;
   };
 
-  static Resources Unlimited(const Resources& cap);
   std::int64_t TeamHeadroom(const ReadyStep& step);
   void Plan(StepPlacement& step, PoolCapacity& pool, Slot& slot,
             std::uint32_t index, std::uint32_t run);
--- a/Source/Core/cell/scheduling_pass_gangs.cc
+++ b/Source/Core/cell/scheduling_pass_gangs.cc
@@ -149,7 +149,7 @@
     return true;
   }
   const Resources in_time =
-      Unlimited(limits->second.m_cap) - m_state.TeamUsage(team).m_long_lived;
+      limits->second.EffectiveCap() - m_state.TeamUsage(team).m_long_lived;
   return FitCount(ready.Spec().m_resources, in_time) >= TaskCount(ready);
 }
 
--- a/Source/Core/cell/scheduling_pass_preemption.cc
+++ b/Source/Core/cell/scheduling_pass_preemption.cc
@@ -46,10 +46,8 @@
       return true;
     }
     Pool& pool = found->second;
-    const StepState& state = *step.m_state;
     pool.m_waiting_cpu_millis +=
-        step.Spec().Charge().m_cpu_millis *
-        (TaskCount(step) - state.m_done - state.m_open);
+        step.Spec().Charge().m_cpu_millis * step.m_state->WaitingTasks();
     pool.m_preempts = pool.m_waiting_cpu_millis * 100 >=
                       pool.m_total_cpu_millis * kOverloadPercent;
     if (pool.m_preempts) {
