--- a/review/common-3/bed.hpp
+++ b/review/common-3/bed.hpp
@@ -44,7 +44,7 @@
  public:
   // Ports: clients, ready, metrics, links.
   Daemon(std::string name, std::string folder, int store_port, int advice_port,
-         double link_mbps)
+         double link_mbps, std::int64_t memory_mb)
       : m_name(std::move(name)), m_folder(std::move(folder)) {
     for (int& port : m_ports) {
       port = FreePort();
@@ -61,7 +61,8 @@
          << "\nlisten.ready=" << ip << ":" << m_ports[1]
          << "\nport_range=" << m_ports[2] << "," << m_ports[2] + 1
          << "\nseeds=\nbootstrap=true\nloss_counts=false\n"
-         << "limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\n"
+         << "limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb="
+         << memory_mb << "\n"
          << "limits.max_fds=4100\nlimits.link_mbps=" << link_mbps
          << "\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n"
          << "heartbeat_ms=1500\n"
@@ -240,9 +241,9 @@
 };
 
 inline Json QueueJson(const std::string& name, const std::string& prefix,
-                      int priority) {
+                      int priority, const std::string& service) {
   return {{"name", name},          {"host", "jobs.example"},
-          {"prefix", prefix},      {"service", "svc"},
+          {"prefix", prefix},      {"service", service},
           {"priority", priority},  {"max_attempts", 3},
           {"stretch_factor", 4.0}, {"target_latency_ms", 3'000}};
 }
--- a/review/common-3/case.hpp
+++ b/review/common-3/case.hpp
@@ -15,6 +15,9 @@
   // The most that a task needs, in thousandths of a core.
   std::int64_t m_task_cpu = 1'000;
   double m_link_mbps = 1'000;
+  std::int64_t m_memory_mb = 260;
+  // Changes what is special about the worker of this number, if set.
+  std::function<void(int number, WorkerOptions&)> m_adjust;
   // Before the first job: the daemons elect an owner and learn of the workers.
   std::int64_t m_traffic_ms = 8'000;
   std::int64_t m_end_ms = 60'000;
@@ -35,14 +38,7 @@
     m_store.m_on_write = [this](int status, std::size_t largest) {
       NoteWrite(status, largest);
     };
-    m_store.Put(
-        "op/config",
-        {{"version", 1},
-         {"routes",
-          {QueueJson("batch", "/batch/", 1), QueueJson("quick", "/quick/", 0)}},
-         {"services", {{{"name", "svc"}, {"enforces_capacity", false}}}},
-         {"limits", {{"body_bytes", 262'144}}},
-         {"tenants", {TenantJson("large"), TenantJson("small")}}});
+    Configure(1, "svc");
     Worker::Observer observer;
     observer.m_on_start = [this](const std::string& task, int) {
       JobState& job = m_jobs[task.substr(0, 16)];
@@ -59,15 +55,21 @@
       job.m_idle_since_ms = SteadyMs();
     };
     for (int i = 0; i < m_options.m_workers; ++i) {
-      m_workers.push_back(std::make_unique<Worker>(
-          m_loop, m_store, "i-" + std::to_string(70'000'000 + i),
-          m_options.m_worker_cpu, m_options.m_worker_mem_mb,
-          m_options.m_work_ms, observer));
+      WorkerOptions worker;
+      worker.m_id = "i-" + std::to_string(70'000'000 + i);
+      worker.m_cpu = m_options.m_worker_cpu;
+      worker.m_mem_mb = m_options.m_worker_mem_mb;
+      worker.m_work_ms = m_options.m_work_ms;
+      if (m_options.m_adjust) {
+        m_options.m_adjust(i, worker);
+      }
+      m_workers.push_back(
+          std::make_unique<Worker>(m_loop, m_store, worker, observer));
     }
     for (int i = 0; i < m_options.m_daemons; ++i) {
       m_daemons.push_back(std::make_unique<Daemon>(
           "edge-" + std::to_string(i + 1), m_folder, m_store.Port(),
-          m_store.Port(), m_options.m_link_mbps));
+          m_store.Port(), m_options.m_link_mbps, m_options.m_memory_mb));
       m_daemons.back()->Start();
     }
   }
@@ -100,6 +102,22 @@
 
   virtual void BeginTraffic() = 0;
 
+  // The operator writes a configuration in which both queues go to `service`.
+  void Configure(int version, const std::string& service) {
+    m_record.Line("configuration " + std::to_string(version) +
+                  ": both queues go to " + service);
+    m_store.Put("op/config",
+                {{"version", version},
+                 {"routes",
+                  {QueueJson("batch", "/batch/", 1, service),
+                   QueueJson("quick", "/quick/", 0, service)}},
+                 {"services",
+                  {{{"name", "svc"}, {"enforces_capacity", false}},
+                   {{"name", "svc-new"}, {"enforces_capacity", false}}}},
+                 {"limits", {{"body_bytes", 262'144}}},
+                 {"tenants", {TenantJson("large"), TenantJson("small")}}});
+  }
+
   static std::string JobId(int number) {
     char id[17];
     std::snprintf(id, sizeof id, "%016x", 0xa000 + number);
--- a/review/common-3/platform.hpp
+++ b/review/common-3/platform.hpp
@@ -123,6 +123,11 @@
            Decode64(found->second.m_value).find(text) != std::string::npos;
   }
 
+  void Remove(const std::string& key) {
+    Erase(key);
+    ServeWatchers();
+  }
+
   // Writes as the operator or a worker does.
   void Put(const std::string& key, const Json& value) {
     ++m_revision;
@@ -377,6 +382,16 @@
   std::vector<Watcher> m_watchers;
 };
 
+struct WorkerOptions {
+  std::string m_id;
+  std::string m_service = "svc";
+  std::string m_kind = "a";
+  std::int64_t m_cpu = 64'000;
+  std::int64_t m_mem_mb = 131'072;
+  // How long each task works.
+  std::int64_t m_work_ms = 1'500;
+};
+
 // A worker without gangs and checkpoints. Its clock keeps true time.
 class Worker {
  public:
@@ -388,14 +403,10 @@
         m_on_end;
   };
 
-  Worker(Loop& loop, Store& store, std::string id, std::int64_t cpu,
-         std::int64_t mem_mb, std::int64_t work_ms, Observer observer)
+  Worker(Loop& loop, Store& store, WorkerOptions options, Observer observer)
       : m_loop(loop),
         m_store(store),
-        m_id(std::move(id)),
-        m_cpu(cpu),
-        m_mem_mb(mem_mb),
-        m_work_ms(work_ms),
+        m_options(std::move(options)),
         m_observer(std::move(observer)),
         m_born(UnixMs()),
         m_epoch_ms(SteadyMs()) {
@@ -407,6 +418,23 @@
   }
 
   std::size_t Running() const { return m_runs.size(); }
+
+  // Reports `draining`, goes on for `drain_ms` and leaves: what still runs
+  // terminates, and nothing is answered any more.
+  void Drain(std::int64_t drain_ms) {
+    m_draining = true;
+    CheckIn();
+    m_loop.After(drain_ms, [this] {
+      m_gone = true;
+      m_store.Remove("servers/" + m_options.m_id);
+      for (const auto& [task, run] : m_runs) {
+        m_observer.m_on_end(task, run.m_number, "gone");
+      }
+      m_runs.clear();
+      m_holds.clear();
+    });
+  }
+
   // Ends that it still lists.
   std::size_t Ends() const { return m_ends.size(); }
 
@@ -432,26 +460,35 @@
   std::int64_t ClockMs() const { return 1'000 + SteadyMs() - m_epoch_ms; }
 
   void CheckIn() {
-    m_store.Put(
-        "servers/" + m_id,
-        {{"service", "svc"},
-         {"address", "127.0.0.1:" + std::to_string(m_port)},
-         {"zone", "zone-a"},
-         {"version", "1"},
-         {"slots", 8},
-         {"state", "ready"},
-         {"cold_left_ms", 0},
-         {"seq", ++m_seq},
-         {"born", m_born},
-         {"labels", {"a", "r1-1"}},
-         {"capacity", {{"cpu", m_cpu}, {"mem_mb", m_mem_mb}, {"gpu", 0}}}});
+    if (m_gone) {
+      return;
+    }
+    m_store.Put("servers/" + m_options.m_id,
+                {{"service", m_options.m_service},
+                 {"address", "127.0.0.1:" + std::to_string(m_port)},
+                 {"zone", "zone-a"},
+                 {"version", "1"},
+                 {"slots", 8},
+                 {"state", m_draining ? "draining" : "ready"},
+                 {"cold_left_ms", 0},
+                 {"seq", ++m_seq},
+                 {"born", m_born},
+                 {"labels", {m_options.m_kind, "r1-1"}},
+                 {"capacity",
+                  {{"cpu", m_options.m_cpu},
+                   {"mem_mb", m_options.m_mem_mb},
+                   {"gpu", 0}}}});
     m_loop.After(kHeartbeatMs, [this] { CheckIn(); });
   }
 
   void Handle(const Message& request, Loop::Respond respond) {
+    if (m_gone) {
+      return;
+    }
     const auto instance =
         request.m_headers.find("mustardslip-expected-instance");
-    if (instance != request.m_headers.end() && instance->second != m_id) {
+    if (instance != request.m_headers.end() &&
+        instance->second != m_options.m_id) {
       respond(421, "{}");
       return;
     }
@@ -553,7 +590,7 @@
     Json running = Json::array();
     for (const auto& [task, run] : m_runs) {
       const std::int64_t percent = std::min<std::int64_t>(
-          99, 100 * (ClockMs() - run.m_started_ms) / m_work_ms);
+          99, 100 * (ClockMs() - run.m_started_ms) / m_options.m_work_ms);
       running.push_back({task, run.m_number, "", percent, 0});
     }
     Json finished = Json::array();
@@ -578,7 +615,7 @@
         how = "lapsed";
       } else if (run.m_stop_ms != 0 && ClockMs() >= run.m_stop_ms) {
         how = "stopped";
-      } else if (ClockMs() >= run.m_started_ms + m_work_ms) {
+      } else if (ClockMs() >= run.m_started_ms + m_options.m_work_ms) {
         how = "done";
       } else {
         return false;
@@ -597,14 +634,13 @@
 
   Loop& m_loop;
   Store& m_store;
-  const std::string m_id;
-  const std::int64_t m_cpu;
-  const std::int64_t m_mem_mb;
-  const std::int64_t m_work_ms;
+  const WorkerOptions m_options;
   const Observer m_observer;
   const std::int64_t m_born;
   const std::int64_t m_epoch_ms;
   int m_port = 0;
+  bool m_draining = false;
+  bool m_gone = false;
   std::int64_t m_seq = 0;
   std::int64_t m_fence = 0;
   std::int64_t m_lease_ms = 0;
