--- a/review/common-3/bed.hpp
+++ b/review/common-3/bed.hpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -110,6 +111,8 @@
     const std::string log = m_folder + "/" + m_name + ".log";
     m_process = fork();
     if (m_process == 0) {
+      // Ends with the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int output =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       dup2(output, STDOUT_FILENO);
--- a/review/common-3/loop.hpp
+++ b/review/common-3/loop.hpp
@@ -99,8 +99,9 @@
     m_timers.emplace(SteadyMs() + ms, std::move(task));
   }
 
-  // Serves HTTP on a free port of 127.0.0.1, which it returns.
-  int Serve(Handler handler) {
+  // Serves HTTP on a free port of 127.0.0.1, which it returns. A channel beyond
+  // `max_channels` is reset; 0 for no limit.
+  int Serve(Handler handler, std::size_t max_channels = 0) {
     const int fd = Socket();
     sockaddr_in address = Loopback(0);
     if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
@@ -109,7 +110,7 @@
     }
     socklen_t size = sizeof address;
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-    m_listeners[fd] = std::move(handler);
+    m_listeners[fd] = {std::move(handler), max_channels};
     return ntohs(address.sin_port);
   }
 
@@ -154,11 +155,17 @@
   }
 
  private:
+  struct Listener {
+    Handler m_handler;
+    std::size_t m_max_channels = 0;
+    std::size_t m_channels = 0;
+  };
+
   struct Channel {
     int m_fd = -1;
     std::string m_in;
     std::string m_out;
-    Handler* m_handler = nullptr;
+    Listener* m_listener = nullptr;
     Done m_done;
   };
 
@@ -193,6 +200,9 @@
       return;
     }
     m_channels.erase(channel->m_fd);
+    if (channel->m_listener != nullptr) {
+      --channel->m_listener->m_channels;
+    }
     close(std::exchange(channel->m_fd, -1));
     if (const auto done = std::exchange(channel->m_done, nullptr)) {
       done(0, "");
@@ -243,16 +253,24 @@
     }
   }
 
-  void Accept(int listener, Handler& handler) {
+  void Accept(int socket, Listener& listener) {
     for (;;) {
       const int fd =
-          accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+          accept4(socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0) {
         return;
       }
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      Add(fd)->m_handler = &handler;
+      if (listener.m_max_channels != 0 &&
+          listener.m_channels >= listener.m_max_channels) {
+        const linger reset = {1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        close(fd);
+        continue;
+      }
+      ++listener.m_channels;
+      Add(fd)->m_listener = &listener;
     }
   }
 
@@ -293,14 +311,14 @@
   void Messages(const std::shared_ptr<Channel>& channel) {
     Message message;
     while (channel->m_fd >= 0 && TakeMessage(channel->m_in, message)) {
-      if (channel->m_handler == nullptr) {
+      if (channel->m_listener == nullptr) {
         if (const auto done = std::exchange(channel->m_done, nullptr)) {
           done(message.m_status, message.m_body);
         }
         Close(channel);
         return;
       }
-      (*channel->m_handler)(
+      channel->m_listener->m_handler(
           message, [this, weak = std::weak_ptr<Channel>(channel)](
                        int status, const std::string& body) {
             if (const auto open = weak.lock(); open && open->m_fd >= 0) {
@@ -315,7 +333,7 @@
   }
 
   std::multimap<std::int64_t, std::function<void()>> m_timers;
-  std::map<int, Handler> m_listeners;
+  std::map<int, Listener> m_listeners;
   std::map<int, std::shared_ptr<Channel>> m_channels;
   bool m_stopped = false;
 };
--- a/review/common-3/platform.hpp
+++ b/review/common-3/platform.hpp
@@ -410,9 +410,11 @@
         m_observer(std::move(observer)),
         m_born(UnixMs()),
         m_epoch_ms(SteadyMs()) {
-    m_port = loop.Serve([this](const Message& request, Loop::Respond respond) {
-      Handle(request, std::move(respond));
-    });
+    m_port = loop.Serve(
+        [this](const Message& request, Loop::Respond respond) {
+          Handle(request, std::move(respond));
+        },
+        kMaxChannels);
     CheckIn();
     Tick();
   }
@@ -439,6 +441,8 @@
   std::size_t Ends() const { return m_ends.size(); }
 
  private:
+  // As in the sheets: 64 channels each.
+  static constexpr std::size_t kMaxChannels = 64;
   static constexpr std::int64_t kMaxHoldMs = 10'000;
   static constexpr std::int64_t kStopMs = 300;
   static constexpr std::int64_t kHeartbeatMs = 1'500;
