--- a/review/common-3/case.hpp
+++ b/review/common-3/case.hpp
@@ -27,6 +27,9 @@
  public:
   // LOST: nothing of a job runs for this long although a task's turn has come.
   static constexpr std::int64_t kIdleLimitMs = 3'000;
+  // LOST: no daemon answers a client that asks for an accepted job, over this
+  // time; each call waits for up to 3 s.
+  static constexpr std::int64_t kNoAnswerLimitMs = 10'000;
   // Judged from this long after the last job was handed in (finish_s).
   static constexpr std::int64_t kFinishMs = 14'000;
 
@@ -90,14 +93,19 @@
   struct JobState {
     std::string m_queue;
     std::string m_tenant;
-    Json m_steps;
+    Json m_body;
     std::string m_shown;
     int m_tasks = 0;
     int m_running = 0;
     std::set<std::string> m_done;
     bool m_accepted = false;
+    // It can never be done, so it is not judged.
+    bool m_hopeless = false;
     std::int64_t m_idle_since_ms = 0;
     std::int64_t m_longest_idle_ms = 0;
+    // The last call for its state or to hand it in got no answer, 502 or 504.
+    std::int64_t m_unanswered_since_ms = 0;
+    std::int64_t m_longest_unanswered_ms = 0;
   };
 
   virtual void BeginTraffic() = 0;
@@ -135,11 +143,13 @@
   JobState& Job(int number) { return m_jobs[JobId(number)]; }
 
   void HandIn(int number, const std::string& queue, const std::string& tenant,
-              const Json& steps) {
+              const Json& steps, const Json& schedule = Json::object()) {
     JobState& job = Job(number);
     job.m_queue = queue;
     job.m_tenant = tenant;
-    job.m_steps = steps;
+    job.m_body = schedule;
+    job.m_body["spec"] = "x";
+    job.m_body["steps"] = steps;
     for (const Json& step : steps) {
       job.m_tasks += step.at("count").get<int>();
     }
@@ -193,7 +203,7 @@
     m_record.Line("POST " + target + " (" + std::to_string(job.m_tasks) +
                   " tasks) to " + daemon.Name() + ", attempt " +
                   std::to_string(attempt + 1));
-    const std::string body = Json{{"spec", "x"}, {"steps", job.m_steps}}.dump();
+    const std::string body = job.m_body.dump();
     m_loop.Call(
         daemon.ClientPort(), ClientCall("POST", target, job.m_tenant, body),
         kClientMs,
@@ -212,7 +222,21 @@
         });
   }
 
-  // Asks for the job's state from time to time.
+  // Counts from `finish_s` after the last job was handed in.
+  void NoteAnswer(JobState& job, int status) const {
+    const std::int64_t now = SteadyMs();
+    if (status == 200 || now - m_last_job_ms < kFinishMs) {
+      job.m_unanswered_since_ms = 0;
+      return;
+    }
+    if (job.m_unanswered_since_ms == 0) {
+      job.m_unanswered_since_ms = now;
+    }
+    job.m_longest_unanswered_ms =
+        std::max(job.m_longest_unanswered_ms, now - job.m_unanswered_since_ms);
+  }
+
+  // Asks for the job's state from time to time, all daemons in turn.
   void Look(int number) {
     const JobState& job = Job(number);
     const Daemon& daemon = *m_daemons[++m_looks % m_daemons.size()];
@@ -222,6 +246,7 @@
                 kClientMs, [this, number](int status, const std::string& body) {
                   JobState& seen = Job(number);
                   const std::string shown = std::to_string(status) + " " + body;
+                  NoteAnswer(seen, status);
                   if (shown != seen.m_shown) {
                     seen.m_shown = shown;
                     m_record.Line("GET job " + JobId(number) + ": " + shown);
@@ -253,7 +278,8 @@
         2 * static_cast<std::int64_t>(running) * m_options.m_task_cpu <
         m_options.m_workers * m_options.m_worker_cpu;
     for (auto& [id, job] : m_jobs) {
-      const bool waits = job.m_accepted && job.m_running == 0 &&
+      const bool waits = job.m_accepted && !job.m_hopeless &&
+                         job.m_running == 0 &&
                          static_cast<int>(job.m_done.size()) < job.m_tasks;
       if (!waits || !room) {
         job.m_idle_since_ms = now;
@@ -263,6 +289,7 @@
       }
     }
     for (const auto& daemon : m_daemons) {
+      EnforceMemory(*daemon);
       if (daemon->HasEnded()) {
         m_record.Line(daemon->Name() + " ended by itself, status " +
                       std::to_string(daemon->Status()));
@@ -280,6 +307,24 @@
     m_loop.After(50, [this] { Watch(); });
   }
 
+  // The platform kills a process that exceeds its machine's memory; it is
+  // started again after a short delay.
+  void EnforceMemory(Daemon& daemon) {
+    const std::int64_t memory_mb = daemon.MemoryMb();
+    m_most_memory_mb = std::max(m_most_memory_mb, memory_mb);
+    if (memory_mb <= m_options.m_memory_mb) {
+      return;
+    }
+    ++m_memory_kills;
+    m_record.Line(daemon.Name() + " has " + std::to_string(memory_mb) +
+                  " MB of " + std::to_string(m_options.m_memory_mb) +
+                  " MB and is killed, the " + std::to_string(m_memory_kills) +
+                  ". time");
+    daemon.Kill();
+    Daemon* killed = &daemon;
+    m_loop.After(kRestartMs, [killed] { killed->Start(); });
+  }
+
   std::size_t Ends() const {
     std::size_t ends = 0;
     for (const auto& worker : m_workers) {
@@ -290,14 +335,19 @@
 
   int Verdict() {
     int result = kHeld;
+    m_record.Line("most memory of a daemon " +
+                  std::to_string(m_most_memory_mb) + " MB, killed for it " +
+                  std::to_string(m_memory_kills) + " times");
     for (const auto& [id, job] : m_jobs) {
-      m_record.Line("job " + id + ": accepted " +
-                    (job.m_accepted ? "yes" : "no") + ", tasks ended done " +
-                    std::to_string(job.m_done.size()) + " of " +
-                    std::to_string(job.m_tasks) + ", last shown " +
-                    job.m_shown + ", longest time without a run " +
-                    std::to_string(job.m_longest_idle_ms) + " ms");
-      if (job.m_longest_idle_ms > kIdleLimitMs) {
+      m_record.Line(
+          "job " + id + ": accepted " + (job.m_accepted ? "yes" : "no") +
+          ", tasks ended done " + std::to_string(job.m_done.size()) + " of " +
+          std::to_string(job.m_tasks) + ", last shown " + job.m_shown +
+          ", longest time without a run " +
+          std::to_string(job.m_longest_idle_ms) + " ms, without an answer " +
+          std::to_string(job.m_longest_unanswered_ms) + " ms");
+      if (job.m_longest_idle_ms > kIdleLimitMs ||
+          job.m_longest_unanswered_ms > kNoAnswerLimitMs) {
         result = kBroken;
       }
     }
@@ -311,11 +361,14 @@
   }
 
   static constexpr std::int64_t kReportMs = 5'000;
+  static constexpr std::int64_t kRestartMs = 500;
 
   std::int64_t m_last_job_ms = 0;
   std::int64_t m_reported_ms = 0;
   std::int64_t m_refused_writes = 0;
   std::size_t m_largest_value = 0;
+  std::int64_t m_most_memory_mb = 0;
+  int m_memory_kills = 0;
   std::size_t m_looks = 0;
 };
 
