--- a/review/common-3/case.hpp
+++ b/review/common-3/case.hpp
@@ -99,8 +99,8 @@
     int m_running = 0;
     std::set<std::string> m_done;
     bool m_accepted = false;
-    // It can never be done, so it is not judged.
-    bool m_hopeless = false;
+    // It is part of the disruption and not judged.
+    bool m_not_judged = false;
     std::int64_t m_idle_since_ms = 0;
     std::int64_t m_longest_idle_ms = 0;
     // The last call for its state or to hand it in got no answer, 502 or 504.
@@ -278,7 +278,7 @@
         2 * static_cast<std::int64_t>(running) * m_options.m_task_cpu <
         m_options.m_workers * m_options.m_worker_cpu;
     for (auto& [id, job] : m_jobs) {
-      const bool waits = job.m_accepted && !job.m_hopeless &&
+      const bool waits = job.m_accepted && !job.m_not_judged &&
                          job.m_running == 0 &&
                          static_cast<int>(job.m_done.size()) < job.m_tasks;
       if (!waits || !room) {
