--- a/review/15/case.cpp
+++ b/review/15/case.cpp
@@ -1,7 +1,7 @@
 // A new configuration sends a queue to another service, and a worker of the old
 // service leaves as planned: the only one there with a label that the tasks of
 // an accepted job require. TROUBLE=0 changes nothing.
-#include "../common-3/case.hpp"
+#include "../11/bed/case.hpp"
 
 namespace bed {
 namespace {
