Log and metrics: which pool a job waits in, and which rules an owner puts in force

Change: job_accepted has the service, rules_in_force tells version and changed queues with their services, and the metric mustardslip_cell_pool has usable VMs, runs and waiting tasks of each pool at the owner.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -78,6 +78,18 @@
   bool operator==(const ZoneUse&) const = default;
 };
 
+// The VMs of a pool (service), and the work that is there or waits for it.
+struct PoolUse {
+  // VMs that may get starts now.
+  std::size_t m_usable_vms = 0;
+  // Open runs on the VMs of the pool, also of queues that left it.
+  std::size_t m_runs = 0;
+  // Tasks whose turn has come.
+  std::int64_t m_waiting_tasks = 0;
+
+  bool operator==(const PoolUse&) const = default;
+};
+
 class CellCore {
  public:
   explicit CellCore(CellBounds bounds, CellFeatures features = {});
@@ -106,6 +118,9 @@
   // Listed VMs that are in an evacuated zone.
   std::size_t EvacuatedVms() const;
 
+  // By service. Looks at all VMs and waiting steps.
+  std::map<std::string, PoolUse> UseOfPools(const CellTime& now) const;
+
   // --- Requests of callers; each is answered by a ReplyToCaller effect ---
   void Submit(std::uint64_t token, WorkflowSpec spec, const CellTime& now);
   void Cancel(std::uint64_t token, const std::string& queue,
--- a/Source/Core/cell/cell_core_forecast.cc
+++ b/Source/Core/cell/cell_core_forecast.cc
@@ -36,6 +36,21 @@
   });
 }
 
+std::map<std::string, PoolUse> CellCore::UseOfPools(const CellTime& now) const {
+  std::map<std::string, PoolUse> pools;
+  for (const auto& [life, vm] : m_state.Vms()) {
+    PoolUse& pool = pools[vm.m_description.m_service];
+    pool.m_usable_vms += IsUsable(vm, now.m_steady_ms) ? 1 : 0;
+    pool.m_runs += vm.m_open.size();
+  }
+  m_ready.Visit(now.m_unix_ms, [&](const ReadyStep& step) {
+    pools[step.m_job->m_spec.m_queue.m_service].m_waiting_tasks +=
+        step.m_state->WaitingTasks();
+    return true;
+  });
+  return pools;
+}
+
 // Only while the backlog of more urgent work is that long; false if the job may
 // be accepted.
 bool CellCore::RefuseIfHopeless(std::uint64_t token, const WorkflowSpec& spec,
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -9,6 +9,11 @@
 namespace mustardslip {
 namespace {
 
+// What is shown of a pool.
+constexpr const char* kUsableVms = "usable_vms";
+constexpr const char* kRuns = "runs";
+constexpr const char* kWaitingTasks = "waiting_tasks";
+
 constexpr std::array<std::string_view, 5> kMethods = {
     "submit", "cancel", "lookup", "count", "explain"};
 constexpr std::array<std::string_view, 7> kOutcomes = {
@@ -44,6 +49,10 @@
                    .Name("mustardslip_cell_state")
                    .Help("State of this daemon, by name")
                    .Register(m_registry)),
+      m_pools(prometheus::BuildGauge()
+                  .Name("mustardslip_cell_pool")
+                  .Help("VMs and work of each pool, at the cell's owner")
+                  .Register(m_registry)),
       m_traffic(prometheus::BuildGauge()
                     .Name("mustardslip_cell_traffic")
                     .Help("Messages and bytes of this daemon, by purpose")
@@ -107,6 +116,28 @@
   }
 }
 
+void CellMetrics::UpdatePools(const std::map<std::string, PoolUse>& pools) {
+  const auto gauge = [this](const std::string& service,
+                            const char* what) -> prometheus::Gauge& {
+    return m_pools.Add({{"service", service}, {"what", what}});
+  };
+  for (const auto& [service, use] : pools) {
+    gauge(service, kUsableVms).Set(static_cast<double>(use.m_usable_vms));
+    gauge(service, kRuns).Set(static_cast<double>(use.m_runs));
+    gauge(service, kWaitingTasks).Set(static_cast<double>(use.m_waiting_tasks));
+    m_known_pools.insert(service);
+  }
+  std::erase_if(m_known_pools, [&](const std::string& service) {
+    if (pools.count(service) != 0) {
+      return false;
+    }
+    for (const char* what : {kUsableVms, kRuns, kWaitingTasks}) {
+      m_pools.Remove(&gauge(service, what));
+    }
+    return true;
+  });
+}
+
 void CellMetrics::UpdateTraffic(const TrafficMeter& traffic) {
   for (std::size_t i = 0; i < kTrafficPurposes; ++i) {
     const auto purpose = static_cast<TrafficPurpose>(i);
--- a/Source/Core/cell/cell_metrics.h
+++ b/Source/Core/cell/cell_metrics.h
@@ -7,6 +7,8 @@
 #include <prometheus/registry.h>
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 
 #include "cell/cell_core.h"
@@ -26,6 +28,9 @@
   void Update(const CellCore* core, std::uint64_t store_calls,
               std::uint64_t connections_opened, std::int64_t configuration);
 
+  // Sets the use of each pool, and removes the pools that are not in `pools`.
+  void UpdatePools(const std::map<std::string, PoolUse>& pools);
+
   // Sets the totals of the daemon's messages and bytes by purpose.
   void UpdateTraffic(const TrafficMeter& traffic);
 
@@ -41,6 +46,9 @@
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Gauge>& m_ends;
   prometheus::Family<prometheus::Gauge>& m_values;
+  prometheus::Family<prometheus::Gauge>& m_pools;
+  // The pools that m_pools has, by service.
+  std::set<std::string> m_known_pools;
   prometheus::Family<prometheus::Gauge>& m_traffic;
   prometheus::Family<prometheus::Gauge>& m_client_limits;
 };
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -37,6 +37,18 @@
   return tasks;
 }
 
+void LogRules(const RulesInForce& rules) {
+  std::string queues;
+  for (const QueueRules& queue : rules.m_changed) {
+    queues += fmt::format("{}{}@{}", queues.empty() ? "" : " ", queue.m_name,
+                          queue.m_service);
+  }
+  Log(LogLevel::kInfo, LogCategory::kCell, "rules_in_force",
+      {{"configuration", rules.m_version},
+       {"count", rules.m_changed.size()},
+       {"queues", queues}});
+}
+
 void LogRuns(std::string_view event, const StepRef& step, const RunList& runs,
              std::string_view how) {
   Log(LogLevel::kInfo, LogCategory::kCell, event,
@@ -60,6 +72,7 @@
       Log(LogLevel::kInfo, LogCategory::kCell, "job_accepted",
           {{"job", spec.m_id},
            {"queue", spec.m_queue.m_name},
+           {"service", spec.m_queue.m_service},
            {"team", spec.m_team},
            {"steps", spec.m_steps.size()},
            {"tasks", TaskCount(spec)}});
@@ -74,6 +87,8 @@
     } else if (const auto* crash = std::get_if<CrashSuspicion>(&record)) {
       crashes[{StepOf(crash->m_task), crash->m_confirmed}].Add(
           crash->m_task, crash->m_run, crash->m_alone ? "alone" : "others");
+    } else if (const auto* rules = std::get_if<RulesInForce>(&record)) {
+      LogRules(*rules);
     } else if (const auto* silent = std::get_if<VmUnreachable>(&record)) {
       Log(LogLevel::kWarning, LogCategory::kCell, "vm_unreachable",
           {{"vm", silent->m_vm.m_id},
