Accepted jobs go with their queue to another pool

Change: the pool is one of the queue's rules like the others. What a step had found out about its former pool as a whole (reservation, size check, time of the next attempt) is dropped, and the forecast is made anew at once. Runs are not touched. The owner logs queue_moved and counts jobs_moved.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -58,6 +58,8 @@
   std::map<RunEnd, std::uint64_t> m_ends;
   // Runs stopped for a more urgent gang.
   std::uint64_t m_preemptions = 0;
+  // Accepted jobs whose queue went to another pool, each time counted.
+  std::uint64_t m_jobs_moved = 0;
   std::uint64_t m_asks = 0;
   std::uint64_t m_passes = 0;
   // VMs that scheduling passes looked at, each time counted.
@@ -280,6 +282,9 @@
   void SetRules(CellRules rules);
   std::vector<std::string> PutRulesInForce();
   std::vector<std::string> ActiveJobs() const;
+  static void ForgetPool(Job& job);
+  void ReportMoves(
+      std::map<std::pair<std::string, std::string>, QueueMoved> moves);
   bool ApplyRules(WorkflowSpec& spec) const;
   void FailIfNoAttemptIsLeft(const TaskRef& ref, const CellTime& now);
   void FailJob(const Job& job, JobFailure failure, const CellTime& now);
--- a/Source/Core/cell/cell_core_attempts_test.cc
+++ b/Source/Core/cell/cell_core_attempts_test.cc
@@ -16,6 +16,15 @@
     m_cell.Configure(version, {QueueWithAttempts(max_attempts)});
   }
 
+  // The queue goes to another pool, with four attempts.
+  void MoveQueue(std::int64_t version) {
+    QueueRules moved = QueueWithAttempts(4);
+    moved.m_service = "other";
+    m_cell.AddVm("vm-other", kVmCapacity).m_description.m_service = "other";
+    m_cell.List("vm-other");
+    m_cell.Configure(version, {moved});
+  }
+
   // Submits job 1, a single task.
   void SubmitWithAttempts(std::int64_t max_attempts) {
     m_cell.Submit(m_cell.Job(1, {CellHarness::Step(1, 1'000)},
@@ -366,16 +375,18 @@
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
 }
 
-// Fails if a job that stays in the pool it was accepted for keeps the limit of
-// that time too, when its queue has moved to another pool.
+// Fails if a job whose queue has moved to another pool keeps the limit of its
+// acceptance.
 TEST_F(CellCoreAttemptsTest, LimitHoldsForJobsOfAQueueThatMovedToAnotherPool) {
   SubmitUnderLimit(2);
-  QueueRules moved = QueueWithAttempts(4);
-  moved.m_service = "other";
-  m_cell.Configure(2, {moved});
+  MoveQueue(2);
   FailRun();
   FailRun();
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.m_starts.size(), 3U);
+  FailRun();
+  FailRun();
+  EXPECT_EQ(PhaseOf(1), JobPhase::kFailed);
 }
 
 // Fails if a new owner forgets the limit of the last configuration before the
@@ -383,9 +394,7 @@
 TEST_F(CellCoreAttemptsTest, LimitBeforeAMoveOfTheQueueHoldsAtTheNextOwner) {
   SubmitUnderLimit(2);
   Configure(2, 4);
-  QueueRules moved = QueueWithAttempts(4);
-  moved.m_service = "other";
-  m_cell.Configure(3, {moved});
+  MoveQueue(3);
   FailRun();
   FailRun();
   ASSERT_EQ(PhaseOf(1), JobPhase::kRunning);
@@ -393,6 +402,7 @@
   m_cell.Run(200);
   FailRun();
   EXPECT_EQ(PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(m_cell.m_starts.size(), 4U);
 }
 
 // Fails if a new owner that has not seen the newest configuration yet fails a
--- a/Source/Core/cell/cell_core_rules.cc
+++ b/Source/Core/cell/cell_core_rules.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,13 @@
     affected.push_back(id);
   }
   FailJobsWithoutAttempts(first ? ActiveJobs() : affected, now);
+  if (!affected.empty()) {
+    // Work may have gone from one pool to another.
+    m_next_forecast_ms = 0;
+    if (m_features.m_refuse_hopeless) {
+      RefreshForecast(now);
+    }
+  }
   m_dirty = true;
 }
 
@@ -50,12 +58,25 @@
 std::vector<std::string> CellCore::PutRulesInForce() {
   std::vector<std::string> affected;
   std::map<std::string, QueueRules> changed;
+  // By queue and former pool.
+  std::map<std::pair<std::string, std::string>, QueueMoved> moves;
   for (const auto& [id, job] : m_state.ActiveJobs()) {
-    if (ApplyRules(job->m_spec)) {
-      affected.push_back(id);
-      changed.emplace(job->m_spec.m_queue.m_name, job->m_spec.m_queue);
+    const std::string former_pool = job->m_spec.m_queue.m_service;
+    if (!ApplyRules(job->m_spec)) {
+      continue;
+    }
+    const QueueRules& rules = job->m_spec.m_queue;
+    affected.push_back(id);
+    changed.emplace(rules.m_name, rules);
+    if (rules.m_service != former_pool) {
+      ForgetPool(*job);
+      QueueMoved& move = moves[{rules.m_name, former_pool}];
+      move.m_to = rules.m_service;
+      ++move.m_jobs;
+      move.m_open_runs += job->m_open_runs;
     }
   }
+  ReportMoves(std::move(moves));
   if (m_rules.m_version == m_state.RulesVersion() && changed.empty()) {
     return affected;
   }
@@ -68,9 +89,30 @@
   return affected;
 }
 
+// What the job's steps have found out about their former pool as a whole. What
+// is known of its VMs (advice, runs) stays true.
+void CellCore::ForgetPool(Job& job) {
+  for (auto& [number, occurrence] : job.m_occurrences) {
+    for (StepState& step : occurrence.m_steps) {
+      step.m_reservation = {};
+      step.m_next_size_check_ms = 0;
+      step.m_next_attempt_ms = 0;
+    }
+  }
+}
+
+void CellCore::ReportMoves(
+    std::map<std::pair<std::string, std::string>, QueueMoved> moves) {
+  for (auto& [key, move] : moves) {
+    std::tie(move.m_queue, move.m_from) = key;
+    move.m_configuration = m_rules.m_version;
+    m_counters.m_jobs_moved += move.m_jobs;
+    m_effects.push_back(std::move(move));
+  }
+}
+
 // Returns true if the rules of the job's queue have changed. Jobs of a removed
-// queue keep the queue's last rules. A job stays in the pool (service) that it
-// was accepted for.
+// queue keep the queue's last rules.
 bool CellCore::ApplyRules(WorkflowSpec& spec) const {
   const auto found = m_queue_index.find(spec.m_queue.m_name);
   if (found == m_queue_index.end()) {
@@ -80,9 +122,8 @@
   if (newest == spec.m_queue) {
     return false;
   }
-  const QueueRules before = spec.m_queue;
-  spec.SetRules(newest);
-  return spec.m_queue != before;
+  spec.m_queue = newest;
+  return true;
 }
 
 // Logged as a decision of its own: a later owner, whose rules may differ, must
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -410,6 +410,7 @@
   std::vector<ContentionChange> m_contention_changes;
   std::vector<AdviceRequest> m_asked;
   std::vector<RunNotListed> m_not_listed;
+  std::vector<QueueMoved> m_moves;
   bool m_store_up = true;
   // Which VMs the advice service allows.
   std::function<bool(const std::string&)> m_advice = [](const std::string&) {
@@ -497,6 +498,7 @@
     m_contention_changes.push_back(change);
   }
   void Execute(const RunNotListed& run) { m_not_listed.push_back(run); }
+  void Execute(const QueueMoved& move) { m_moves.push_back(move); }
 
   void Execute(const StartRun& start) {
     m_starts.push_back(start);
--- a/Source/Core/cell/cell_metrics.cc
+++ b/Source/Core/cell/cell_metrics.cc
@@ -97,6 +97,7 @@
       static_cast<double>(counters.m_unknown_runs_stopped));
   set("runs_carried_over", static_cast<double>(counters.m_carried_over));
   set("runs_preempted", static_cast<double>(counters.m_preemptions));
+  set("jobs_moved", static_cast<double>(counters.m_jobs_moved));
   set("advice_calls", static_cast<double>(counters.m_asks));
   set("scheduling_passes", static_cast<double>(counters.m_passes));
   set("vms_examined", static_cast<double>(counters.m_vms_examined));
--- a/Source/Core/cell/cell_owner.h
+++ b/Source/Core/cell/cell_owner.h
@@ -510,6 +510,9 @@
   void Execute(const VmSpeedChange& change) { LogVmSpeed(change); }
   void Execute(const ContentionChange& change) { LogContention(change); }
   void Execute(const RunNotListed& run) { LogRunNotListed(run); }
+  void Execute(const QueueMoved& move) {
+    LogQueueMoved(move, m_owner.m_revision);
+  }
 
   void Execute(ReplyToCaller& reply) {
     const auto found = m_pending_requests.find(reply.m_token);
--- a/Source/Core/cell/cell_state.cc
+++ b/Source/Core/cell/cell_state.cc
@@ -373,7 +373,7 @@
   for (const QueueRules& rules : record.m_changed) {
     for (const auto& [id, job] : m_active) {
       if (job->m_spec.m_queue.m_name == rules.m_name) {
-        job->m_spec.SetRules(rules);
+        job->m_spec.m_queue = rules;
       }
     }
   }
--- a/Source/Core/cell/cell_types.h
+++ b/Source/Core/cell/cell_types.h
@@ -264,9 +264,24 @@
   bool operator==(const RunNotListed&) const = default;
 };
 
-using Effect =
-    std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller, JobFailure,
-                 GangDelay, VmSpeedChange, ContentionChange, RunNotListed>;
+// A configuration sends the accepted jobs of a queue to another pool: their
+// next starts are there. For the operator's log.
+struct QueueMoved {
+  std::string m_queue;
+  // The services of the pools.
+  std::string m_from;
+  std::string m_to;
+  std::int64_t m_configuration = 0;
+  std::size_t m_jobs = 0;
+  // Runs of the jobs, which go on where they are.
+  std::size_t m_open_runs = 0;
+
+  bool operator==(const QueueMoved&) const = default;
+};
+
+using Effect = std::variant<StartRun, StopRun, AdviceRequest, ReplyToCaller,
+                            JobFailure, GangDelay, VmSpeedChange,
+                            ContentionChange, RunNotListed, QueueMoved>;
 
 // --- Events ---
 
--- a/Source/Core/cell/decision_log.cc
+++ b/Source/Core/cell/decision_log.cc
@@ -212,6 +212,17 @@
        {"start_age_ms", run.m_start_age_ms}});
 }
 
+void LogQueueMoved(const QueueMoved& move, std::int64_t fence) {
+  Log(LogLevel::kInfo, LogCategory::kCell, "queue_moved",
+      {{"queue", move.m_queue},
+       {"from", move.m_from},
+       {"to", move.m_to},
+       {"configuration", move.m_configuration},
+       {"jobs", move.m_jobs},
+       {"open_runs", move.m_open_runs},
+       {"fence", fence}});
+}
+
 void LogAbandonedStarts(const std::set<OpenStart>& starts, std::int64_t fence) {
   if (starts.empty()) {
     return;
--- a/Source/Core/cell/decision_log.h
+++ b/Source/Core/cell/decision_log.h
@@ -45,6 +45,8 @@
                     std::int64_t after_ms);
 // Logs a run that is closed because its VM does not list it.
 void LogRunNotListed(const RunNotListed& run);
+// Logs that the accepted jobs of a queue go to another pool.
+void LogQueueMoved(const QueueMoved& move, std::int64_t fence);
 // Logs the starts whose answers an owner does not wait for any more.
 void LogAbandonedStarts(const std::set<OpenStart>& starts, std::int64_t fence);
 
--- a/Source/Core/cell/log_record.h
+++ b/Source/Core/cell/log_record.h
@@ -157,8 +157,9 @@
 // the jobs carry their rules.
 struct RulesInForce {
   std::int64_t m_version = 0;
-  // The queues of active jobs whose rules changed; their jobs stay in the pool
-  // (service) that they were accepted for.
+  // The queues of active jobs whose rules changed, the pool (service) included.
+  // Earlier versions wrote the pool that a job was accepted for, and read this
+  // record without its pool.
   std::vector<QueueRules> m_changed;
 
   bool operator==(const RulesInForce&) const = default;
--- a/Source/Core/cell/workflow.h
+++ b/Source/Core/cell/workflow.h
@@ -99,20 +99,15 @@
 struct WorkflowSpec {
   // 16 hexadecimal digits, chosen by the client.
   std::string m_id;
+  // As in the configuration in force, the pool included: they change with it,
+  // also while runs are open. Of a queue that was removed, the last ones.
   QueueRules m_queue;
-  // Empty for a queue open to all.
+  // Who submitted the job; empty for a queue open to all. Stays.
   std::string m_team;
   std::string m_payload;
   std::vector<StepSpec> m_steps;
   Schedule m_schedule;
 
-  // The queue has new rules. The job stays in the pool (service) that it was
-  // accepted for.
-  void SetRules(QueueRules rules) {
-    rules.m_service = std::move(m_queue.m_service);
-    m_queue = std::move(rules);
-  }
-
   bool operator==(const WorkflowSpec&) const = default;
 };
 
