Speed of VMs: runs tell the speed of the VM's pool, not of the queue's

What users see: after a queue has moved, runs that go on in its former pool make the owner forget the speeds of the VMs there and rate them as VMs of the new pool; gangs and urgent work are placed worse for a while. Found by reading what is keyed by the queue's pool.

Cause: the evidence of a run was filed under the service of its job's queue, and a step's runs were compared with each other whatever pool they were in. Both were the same as long as a job never left its pool.

Change: the service is that of the VM, and batches are kept by step and service.

--- a/Source/Core/cell/cell_core_speeds.cc
+++ b/Source/Core/cell/cell_core_speeds.cc
@@ -9,8 +9,10 @@
 // expected duration of a stall.
 constexpr std::int64_t kEpisodeMs = 5'000;
 
-StepTraits TraitsOf(const Job& job, const StepSpec& spec) {
-  return {job.m_spec.m_queue.m_service, job.m_spec.m_queue.m_name,
+// The service is that of the VM: the job's queue may have gone to another pool
+// since the run was started.
+StepTraits TraitsOf(const VmState& vm, const Job& job, const StepSpec& spec) {
+  return {vm.m_description.m_service, job.m_spec.m_queue.m_name,
           spec.m_estimate_ms, spec.m_count, spec.m_gang};
 }
 
@@ -51,7 +53,8 @@
       continue;
     }
     run->m_speed_settled = true;
-    m_speeds.OnRun(StepOf(end.m_task), TraitsOf(job, spec), vm.Incarnation(),
+    m_speeds.OnRun(StepOf(end.m_task), TraitsOf(vm, job, spec),
+                   vm.Incarnation(),
                    static_cast<double>(report.m_vm_ms - run->m_started_vm_ms),
                    now.m_steady_ms);
   }
@@ -79,7 +82,7 @@
       run->m_speed_settled = true;
     } else if (const auto rate = run->m_progress.MeanRate()) {
       run->m_speed_settled = true;
-      m_speeds.OnRun(StepOf(listed.m_task), TraitsOf(job, spec),
+      m_speeds.OnRun(StepOf(listed.m_task), TraitsOf(vm, job, spec),
                      vm.Incarnation(), RunProgress::kWholePercent / *rate,
                      now.m_steady_ms);
     }
--- a/Source/Core/cell/queue_move_test.cc
+++ b/Source/Core/cell/queue_move_test.cc
@@ -466,6 +466,31 @@
   EXPECT_EQ(NewRuns(), 2U);
 }
 
+// Fails if runs in the old pool after the move are taken for evidence on the
+// new one: the estimates of the VMs in the old pool then begin anew.
+TEST_F(QueueMoveTest, RunsInTheOldPoolTellItsSpeeds) {
+  Restart({.m_place_by_speed = true});
+  constexpr int kSteps = 20;
+  m_cell.Vm("old-0").m_percent_per_ms /= 2;
+  const auto run_step = [this](int job) {
+    Submit(job, {CellHarness::Step(kVmsPerPool, kWholeVm)});
+    ASSERT_EQ(OldRuns(), kVmsPerPool);
+  };
+  for (int job = 1; job <= kSteps; ++job) {
+    run_step(job);
+    m_cell.Run(6'000);
+    m_cell.End(job, RunEnd::kDone);
+    m_cell.Run(200);
+  }
+  const VmIncarnation slow = m_cell.Vm("old-0").m_description.m_incarnation;
+  const double speed = m_cell.Core().Speeds().Of(slow);
+  ASSERT_LT(speed, 0.7);
+  run_step(kSteps + 1);
+  SendTo(kNewService);
+  m_cell.Run(12'000);
+  EXPECT_NEAR(m_cell.Core().Speeds().Of(slow), speed, 0.05);
+}
+
 // Fails for a mixture of moves, ends, removals, changes of the owner (from the
 // log and from a snapshot) and VMs that leave in which a task is started twice
 // or in another pool than the one in force, or a job does not end.
--- a/Source/Core/cell/vm_speed.cc
+++ b/Source/Core/cell/vm_speed.cc
@@ -110,12 +110,13 @@
   if (run_ms < 1) {
     return;
   }
-  if (m_batches.size() >= kMaxBatches && m_batches.count(step) == 0) {
+  const std::pair key(step, traits.m_service);
+  if (m_batches.size() >= kMaxBatches && m_batches.count(key) == 0) {
     // Any step will do: this bounds memory under an extreme load only.
     Evaluate(m_batches.begin()->second, now_ms);
     m_batches.erase(m_batches.begin());
   }
-  const auto [found, created] = m_batches.try_emplace(step);
+  const auto [found, created] = m_batches.try_emplace(key);
   Batch& batch = found->second;
   if (created) {
     batch.m_traits = traits;
--- a/Source/Core/cell/vm_speed.h
+++ b/Source/Core/cell/vm_speed.h
@@ -133,7 +133,8 @@
   // Bounded like m_vms.
   std::map<QueueKey, Queue> m_queues;
   // Bounded in number and in runs each.
-  std::map<StepRef, Batch> m_batches;
+  // By step and service: a step has runs in two pools if its queue moved.
+  std::map<std::pair<StepRef, std::string>, Batch> m_batches;
   std::uint64_t m_changes = 0;
 };
 
--- a/Source/Core/cell/vm_speed_test.cc
+++ b/Source/Core/cell/vm_speed_test.cc
@@ -310,5 +310,30 @@
   EXPECT_EQ(m_fits.back().m_slot->m_speed_class, -1);
 }
 
+// Fails if the VMs of two pools are compared with each other because a step has
+// runs in both: its queue moved.
+TEST(VmSpeedTest, PoolsOfOneStepAreKeptApart) {
+  constexpr int kSteps = 60;
+  constexpr std::size_t kPerPool = 4;
+  VmSpeeds speeds;
+  std::int64_t now_ms = 0;
+  for (int i = 0; i < kSteps; ++i) {
+    const StepRef step{std::to_string(i), 0, 0};
+    now_ms += 1'000;
+    for (std::size_t vm = 0; vm < 2 * kPerPool; ++vm) {
+      const bool slow_pool = vm < kPerPool;
+      const StepTraits traits{slow_pool ? "slow" : "fast", "queue", 0,
+                              2 * kPerPool};
+      speeds.OnRun(step, traits, Fleet::Vm(vm), slow_pool ? 4'000 : 1'000,
+                   now_ms);
+    }
+    speeds.Refresh(now_ms);
+  }
+  speeds.Refresh(now_ms + 60'000);
+  for (std::size_t vm = 0; vm < 2 * kPerPool; ++vm) {
+    EXPECT_NEAR(speeds.Of(Fleet::Vm(vm)), 1.0, 0.05) << vm;
+  }
+}
+
 }  // namespace
 }  // namespace mustardslip
