--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -19,4 +19,7 @@
   "${soak[@]}" --seed="$seed" --seconds=20 --late_calls --advised_share=1 ||
     failed=1
 done
+# Queues that move between two services.
+"${soak[@]}" --seed="$(date +%s)" --runs=6 --seconds="$seconds" --queue_moves ||
+  failed=1
 exit "$failed"
