Ends beyond one list: what a cut list returned is discarded, whatever the owner knows

Cause: a poll lets the VM discard no end while the VM has a run that this owner has not seen listed (EndsToAcknowledge, HasUnlistedRuns). A new owner has seen none. The runs whose ends come after the first 500 are listed only once these were discarded, and are closed only by a list that is not cut: each waited for the other.

Change: a cut list settles the same runs as a whole one does. A run whose start can no longer be executed on that incarnation by the time of the list (m_listed_after_vm_ms) is in the part that was left out, or not there; it does not hold back the discarding. Starts that may still be underway do, as before. Nothing changes for lists that are not cut.

--- a/Source/Core/cell/cell_core.h
+++ b/Source/Core/cell/cell_core.h
@@ -346,7 +346,8 @@
   void RecordUnreachable(const std::vector<VmState*>& lives,
                          const CellTime& now);
   bool HasUnconfirmedRuns(const VmState& vm);
-  bool HasUnlistedRuns(const VmState& vm);
+  bool HasUnsettledRuns(const VmState& vm);
+  void NoteLeftOutRuns(const VmState& vm, const VmReport& report);
   std::int64_t UnknownIncarnationLeaseEndMs(const VmState& vm) const;
   void RecordReachable(VmState& vm);
   void OnReachableDurable(const AllowDeadlines& allow);
--- a/Source/Core/cell/cell_core_lease_bounds.cc
+++ b/Source/Core/cell/cell_core_lease_bounds.cc
@@ -211,11 +211,12 @@
   });
 }
 
-// True if starts were sent to this incarnation that it has not listed.
-bool CellCore::HasUnlistedRuns(const VmState& vm) {
+// True if starts were sent to this incarnation that none of its lists settled.
+bool CellCore::HasUnsettledRuns(const VmState& vm) {
   return std::any_of(vm.m_open.begin(), vm.m_open.end(), [&](const auto& open) {
     const OpenRun* run = m_state.FindRun(open.first.first, open.first.second);
-    return run == nullptr || (!run->Listed() && !run->m_awaiting_log);
+    return run == nullptr ||
+           (!run->Listed() && !run->m_awaiting_log && !run->m_left_out_of_list);
   });
 }
 
--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -94,11 +94,16 @@
 
 // Numbers of ends begin anew in each incarnation, and the poll may reach a
 // later one. So none are acknowledged before the VM has answered this owner,
-// while its last poll is unanswered, or while a start that it has not listed
+// while its last poll is unanswered, or while a start that no list has settled
 // may have reached the next incarnation: its end would be discarded unread.
+//
+// Invariant: once its starts are settled, each list lets the VM discard the
+// ends that it returned when they are durable, also if it was cut and this
+// owner has seen none of the runs. The next list returns others, so that
+// nothing waits for what only the rest of a list can tell.
 std::uint64_t CellCore::EndsToAcknowledge(const VmState& vm) {
   if (!vm.m_fenced || vm.m_first_failed_call_ms != 0 ||
-      vm.m_acknowledged_end >= vm.m_durable_end || HasUnlistedRuns(vm)) {
+      vm.m_acknowledged_end >= vm.m_durable_end || HasUnsettledRuns(vm)) {
     return 0;
   }
   return vm.m_durable_end;
@@ -117,7 +122,7 @@
     }
     if (run->m_phase == RunPhase::kPlanned) {
       run->m_phase = RunPhase::kRunning;
-      run->m_listed_after_vm_ms = report.m_vm_ms;
+      run->SetListedAfter(report.m_vm_ms);
       ConfirmRun(listed.m_task);
     }
     run->m_progress.OnReport(listed.m_percent, report.m_vm_ms);
@@ -246,7 +251,11 @@
 // ended: they never began, or another gang member's end was reported for them.
 void CellCore::CloseUnlistedRuns(VmState& vm, const VmReport& report,
                                  const CellTime& now) {
-  if (report.m_more || vm.m_open.empty()) {
+  if (vm.m_open.empty()) {
+    return;
+  }
+  if (report.m_more) {
+    NoteLeftOutRuns(vm, report);
     return;
   }
   std::set<RunKey> listed;
@@ -261,7 +270,7 @@
     }
     if (run == nullptr ||
         run->m_listed_after_vm_ms == OpenRun::kUnknownVmTime ||
-        report.m_vm_ms > run->m_listed_after_vm_ms) {
+        run->IsSettledBy(report.m_vm_ms)) {
       missing.push_back(key);
     }
   }
@@ -282,6 +291,18 @@
   }
 }
 
+// The open runs that are neither returned nor certain to be elsewhere are in
+// the rest of the cut list, or on no incarnation that a poll may reach.
+void CellCore::NoteLeftOutRuns(const VmState& vm, const VmReport& report) {
+  for (const auto& [key, charge] : vm.m_open) {
+    OpenRun* run = m_state.FindRun(key.first, key.second);
+    if (run != nullptr && !run->m_awaiting_log &&
+        run->IsSettledBy(report.m_vm_ms)) {
+      run->m_left_out_of_list = true;
+    }
+  }
+}
+
 void CellCore::NoteNotListed(const TaskRef& task, const OpenRun& run,
                              const CellTime& now) {
   RunNotListed effect;
@@ -314,7 +335,7 @@
             vm->m_clock.MayShow(answer.m_vm_ms, now.m_steady_ms);
         // Otherwise the deadline, which is on the clock of m_vm, stays.
         if (run->m_clock_matches) {
-          run->m_listed_after_vm_ms = answer.m_vm_ms;
+          run->SetListedAfter(answer.m_vm_ms);
           run->m_started_vm_ms = answer.m_vm_ms;
         }
       }
@@ -348,7 +369,7 @@
   OpenRun* run = m_state.FindRun(answer.m_task, answer.m_run);
   if (run != nullptr && run->m_vm == answer.m_vm &&
       run->m_listed_after_vm_ms == OpenRun::kUnknownVmTime) {
-    run->m_listed_after_vm_ms = answer.m_vm_ms;
+    run->SetListedAfter(answer.m_vm_ms);
   }
 }
 
--- a/Source/Core/cell/cell_harness.h
+++ b/Source/Core/cell/cell_harness.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -300,7 +301,12 @@
            percent == vm.m_percent.end() ? 0 : percent->second,
            vm.m_usage_or_latency});
     }
-    report.m_ended = vm.m_ended;
+    const std::size_t listed = std::min(vm.m_ended.size(), m_max_listed_ends);
+    report.m_ended.assign(
+        vm.m_ended.begin(),
+        vm.m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    // As a client that only knows the limit.
+    report.m_more = listed == m_max_listed_ends;
     return report;
   }
 
@@ -418,6 +424,8 @@
   };
   std::int64_t m_ticket_validity_ms = 2'000;
   std::vector<LogRecord> m_log;
+  // A VM's list returns at most this many ends, the first ones.
+  std::size_t m_max_listed_ends = std::numeric_limits<std::size_t>::max();
   // VMs end runs whose lease has expired, and refuse calls with a lower fence.
   bool m_simulate_leases = false;
   // Error of the current owner's Unix time.
--- a/Source/Core/cell/drawn_vm_history.h
+++ b/Source/Core/cell/drawn_vm_history.h
@@ -6,6 +6,7 @@
 
 #include <rapidcheck.h>
 
+#include <limits>
 #include <string>
 
 #include "cell/vm_lease_fixture.h"
@@ -17,6 +18,9 @@
   DrawnVmHistory() {
     m_cell.m_simulate_leases = true;
     m_cell.m_late_call_ms = *rc::gen::element(0, 500, 2'000, 4'500);
+    // Most lists are cut in some histories.
+    m_cell.m_max_listed_ends =
+        *rc::gen::element<std::size_t>(1, 2, kNoLimit, kNoLimit);
     for (int i = 0; i < kVms; ++i) {
       m_cell
           .AddVm("vm-" + std::to_string(i), kVmCapacity, {},
@@ -103,6 +107,8 @@
 
  private:
   static constexpr int kVms = 3;
+  static constexpr std::size_t kNoLimit =
+      std::numeric_limits<std::size_t>::max();
 
   static std::int64_t RandomClock() {
     return *rc::gen::element<std::int64_t>(0, 2'000, 8'000, kHourMs,
--- a/Source/Core/cell/job_state.h
+++ b/Source/Core/cell/job_state.h
@@ -37,6 +37,10 @@
   // it is planned, the time of the confirmation after that. 0: planned by an
   // earlier owner, whose starts are blocked by the fence of this one.
   std::int64_t m_listed_after_vm_ms = 0;
+  // Volatile: a list of m_vm that was cut does not have the run, and was taken
+  // after m_listed_after_vm_ms: the run is in the part that was left out, or
+  // does not exist on the VM.
+  bool m_left_out_of_list = false;
   // Volatile: planned on an earlier incarnation of m_vm, which may have ended
   // before the start arrived. The start may still arrive at m_vm: until a stop
   // of the run has been answered, m_listed_after_vm_ms is kUnknownVmTime.
@@ -68,6 +72,16 @@
   // Later than any time on a VM's clock.
   static constexpr std::int64_t kUnknownVmTime = INT64_MAX;
 
+  // A list of m_vm at this time on its clock has the run, in the part that it
+  // returns or in the one that it leaves out, unless the run does not exist
+  // there.
+  bool IsSettledBy(std::int64_t list_vm_ms) const {
+    return list_vm_ms > m_listed_after_vm_ms;
+  }
+  void SetListedAfter(std::int64_t vm_ms) {
+    m_listed_after_vm_ms = vm_ms;
+    m_left_out_of_list = false;
+  }
   // True if the VM listed the run to this owner: the start was executed there.
   bool Listed() const { return m_progress.Reported(); }
   // True if m_vm executed the start, as far as its answer tells, which does not
