--- a/bench/cell_benchmark.cc
+++ b/bench/cell_benchmark.cc
@@ -299,6 +299,7 @@
   void Execute(const VmSpeedChange&) {}
   void Execute(const ContentionChange&) {}
   void Execute(const RunNotListed&) {}
+  void Execute(const QueueMoved&) {}
 
   CellCore m_core;
   std::int64_t m_now_ms = 1'000;
