Cut lists: only runs that a list did not return are marked as left out

NoteLeftOutRuns marked listed runs too, which its flag's comment denies; HasUnsettledRuns asks Listed() first, so nothing depended on it.

--- a/Source/Core/cell/cell_core_vms.cc
+++ b/Source/Core/cell/cell_core_vms.cc
@@ -291,12 +291,12 @@
   }
 }
 
-// The open runs that are neither returned nor certain to be elsewhere are in
-// the rest of the cut list, or on no incarnation that a poll may reach.
+// Marks the runs that the cut list would have returned if they were not behind
+// the cut, or did not exist on the VM.
 void CellCore::NoteLeftOutRuns(const VmState& vm, const VmReport& report) {
   for (const auto& [key, charge] : vm.m_open) {
     OpenRun* run = m_state.FindRun(key.first, key.second);
-    if (run != nullptr && !run->m_awaiting_log &&
+    if (run != nullptr && !run->m_awaiting_log && !run->Listed() &&
         run->IsSettledBy(report.m_vm_ms)) {
       run->m_left_out_of_list = true;
     }
--- a/Source/Core/cell/cut_lists_test.cc
+++ b/Source/Core/cell/cut_lists_test.cc
@@ -50,6 +50,14 @@
     return polls;
   }
 
+  // All ends were read, and each of the tasks of job 1 ran once.
+  void ExpectAllDoneOnce(std::size_t tasks) {
+    EXPECT_EQ(Ends(), 0U);
+    EXPECT_EQ(m_cell.m_starts.size(), tasks);
+    EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+    ExpectNothingTwice();
+  }
+
   void ExpectNothingTwice() {
     EXPECT_TRUE(m_cell.m_started_twice.empty());
     EXPECT_TRUE(m_cell.m_started_after_done.empty());
@@ -99,10 +107,7 @@
   m_cell.End(1, RunEnd::kDone);
   m_cell.TakeOver();
   m_cell.Run(3'000);
-  EXPECT_EQ(Ends(), 0U);
-  EXPECT_EQ(m_cell.m_starts.size(), 5'000U);
-  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
-  ExpectNothingTwice();
+  ExpectAllDoneOnce(5'000);
 }
 
 // Fails if ends that arrive while a list is being read keep it from being read
@@ -119,10 +124,7 @@
     m_cell.Run(50);
   }
   m_cell.Run(1'000);
-  EXPECT_EQ(Ends(), 0U);
-  EXPECT_EQ(m_cell.m_starts.size(), 3'000U);
-  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
-  ExpectNothingTwice();
+  ExpectAllDoneOnce(3'000);
 }
 
 // Fails if the owner that started short tasks, more than a list returns, never
@@ -135,9 +137,7 @@
   ASSERT_EQ(m_cell.RunningOf(1), 2'000U);
   m_cell.End(1, RunEnd::kDone);
   m_cell.Run(2'000);
-  EXPECT_EQ(Ends(), 0U);
-  EXPECT_EQ(m_cell.m_starts.size(), 2'000U);
-  EXPECT_EQ(PhaseOf(1), JobPhase::kComplete);
+  ExpectAllDoneOnce(2'000);
 }
 
 // Fails if ends are discarded while a start may still be executed by the next
